Calls carry what is known of their route; a SIGHUP ends no process

And processes with the default action for SIGHUP ended by themselves (10 and 15 exits, code 129).

Ruled out: an old version at the restarted node (its boot proof held, version 2 and then 4 were right).

Change: the call has the route's idempotence, priority and expected run, so the upstream's node needs no configuration to run it.

--- a/src/appletally/control/run.cpp
+++ b/src/appletally/control/run.cpp
@@ -48,6 +48,7 @@
     kj::UnixEventPort::captureSignal(SIGTERM);
     kj::UnixEventPort::captureSignal(SIGINT);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // a port that can reload looks at its file by itself; unhandled it would end the process
     auto io = kj::setupAsyncIo();
 
     std::optional<consensus::DiskLog> disk;
--- a/src/appletally/inner/link.capnp
+++ b/src/appletally/inner/link.capnp
@@ -60,6 +60,9 @@
   hasOld @14 :Bool;        # the two below are known
   oldFailures @15 :Float64; # of the version that a rollout moves away from, lately, on this route: 0 to 1
   oldMedianMs @16 :Float64;
+  idempotent @17 :Bool;
+  priority @18 :UInt8;     # config::Priority
+  expectedMs @19 :Int64;   # usual run at the upstream
 }
 
 struct AnswerHead {
--- a/src/appletally/inner/link.capnp.h
+++ b/src/appletally/inner/link.capnp.h
@@ -121,7 +121,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 7, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 8, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -820,6 +820,12 @@
 
   inline double getOldMedianMs() const;
 
+  inline bool getIdempotent() const;
+
+  inline  ::uint8_t getPriority() const;
+
+  inline  ::int64_t getExpectedMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -931,6 +937,15 @@
   inline double getOldMedianMs();
   inline void setOldMedianMs(double value);
 
+  inline bool getIdempotent();
+  inline void setIdempotent(bool value);
+
+  inline  ::uint8_t getPriority();
+  inline void setPriority( ::uint8_t value);
+
+  inline  ::int64_t getExpectedMs();
+  inline void setExpectedMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2990,6 +3005,48 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::getIdempotent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+
+inline bool Call::Builder::getIdempotent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setIdempotent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Call::Reader::getPriority() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Call::Builder::getPriority() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setPriority( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<26>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Call::Reader::getExpectedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Call::Builder::getExpectedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setExpectedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t AnswerHead::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -7,6 +7,7 @@
 #include "appletally/base/clock.h"
 #include "appletally/base/ids.h"
 #include "appletally/base/result.h"
+#include "appletally/config/model.h"
 #include "appletally/http/upstream_client.h"
 #include "appletally/policy/load.h"
 #include "appletally/policy/local_verdict.h"
@@ -32,6 +33,12 @@
     bool internal = false; // another service of the mesh calls
     base::ConfigVersion configVersion; // that the caller's node routed by
     uint8_t depth = 0; // how many calls stand above this one
+
+    // What the caller's node knows of the route. It travels with the call, since the upstream's node may have started a
+    // moment ago, or have another version in force, and must not take a caller's request for an unknown one.
+    bool idempotent = false;
+    config::Priority priority = config::Priority::Read;
+    base::Duration expected { 20 }; // usual run at the upstream
     std::optional<policy::CallerBaseline> old; // how the version that a rollout moves away from does, as the caller's node sees it
 };
 
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -95,6 +95,9 @@
     it.call.internal = depth > 0;
     it.call.configVersion = m_snapshot->version;
     it.call.depth = depth;
+    it.call.idempotent = route.idempotent;
+    it.call.priority = route.priority;
+    it.call.expected = route.expected;
     const auto timerOf = [&](event_callback_fn function) { return event_new(m_loop, -1, 0, function, &it); };
     it.timer = timerOf([](evutil_socket_t, short, void* arg) {
         auto* self = static_cast<Active*>(arg);
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -51,14 +51,6 @@
     return it == m_calls.end() ? nullptr : it->second.get();
 }
 
-const config::Route* Owner::routeOf(const Call& call) const
-{
-    if (!m_snapshot)
-        return nullptr;
-    auto it = m_snapshot->routes.find(call.route);
-    return it == m_snapshot->routes.end() ? nullptr : &it->second;
-}
-
 EndpointState Owner::state() const
 {
     if (!m_upstream)
@@ -71,8 +63,6 @@
 // Why the call cannot even be offered; all of these are proven "not run".
 std::optional<base::Error> Owner::whyNot(const Call& call) const
 {
-    if (!routeOf(call))
-        return base::fail(Code::NoRoute, "this node has no route " + call.route.text);
     if (state() == EndpointState::Draining)
         return base::fail(Code::Draining, "the upstream is leaving");
     if (state() != EndpointState::Ready || m_upstream->service != call.service)
@@ -127,7 +117,7 @@
 {
     std::vector<OwnerCallId> waiting;
     for (const auto& [id, it] : m_calls) {
-        if (it->stage == Stage::Offered && it->route)
+        if (it->stage == Stage::Offered && it->offered)
             waiting.push_back(id);
     }
     for (const OwnerCallId id : waiting) {
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -107,7 +107,6 @@
     void loseUpstream(const std::string& why);
     void refuseWaiting(const base::Error&); // whatever has not begun at the upstream
     http::UpstreamRequest requestFor(Running&, base::Duration left) const;
-    const config::Route* routeOf(const Call&) const;
     Running* find(OwnerCallId);
     std::optional<base::Error> whyNot(const Call&) const;
 
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -22,7 +22,6 @@
     it.call = std::move(call);
     it.handler = std::move(handler);
     it.owner = this;
-    it.snapshot = m_snapshot;
     it.timer = event_new(
         m_loop, -1, 0, [](evutil_socket_t, short, void* arg) {
             auto* self = static_cast<Running*>(arg);
@@ -42,9 +41,9 @@
 {
     if (auto error = whyNot(it.call))
         return refuse(it, *error);
-    it.route = routeOf(it.call);
+    it.offered = true;
     const Time now = base::steadyNow();
-    const policy::Arrival arrival { { it.id }, it.call.caller, it.call.route, it.route->priority, it.route->expected, it.call.deadline, it.call.internal };
+    const policy::Arrival arrival { { it.id }, it.call.caller, it.call.route, it.call.priority, it.call.expected, it.call.deadline, it.call.internal };
     const policy::Decision decision = policy::offer(m_admission, arrival, now);
     if (decision.verdict == policy::Verdict::Run)
         run(it);
@@ -73,7 +72,7 @@
     // Between the queue and the slot the version may have been stopped; what has not begun is still truly "not run".
     if (auto error = whyNot(it.call); error && error->code == Code::VersionTakenBack)
         return leaveSlot(it, *error);
-    if (m_settings.features.claims && !it.route->idempotent && !it.call.key.empty())
+    if (m_settings.features.claims && !it.call.idempotent && !it.call.key.empty())
         return claim(it);
     send(it);
 }
@@ -153,7 +152,7 @@
     out.method = it.call.method;
     out.target = it.call.target;
     out.body = std::move(it.call.body);
-    out.idempotent = it.route->idempotent;
+    out.idempotent = it.call.idempotent;
     const std::string* named = http::findHeader(it.call.headers, "Connection"); // fields that concern the caller's connection only
     for (const http::HeaderField& field : it.call.headers) {
         const bool ours = http::sameName(field.name, names.timeLeft) || http::sameName(field.name, names.depth) || http::sameName(field.name, names.caller)
@@ -344,7 +343,7 @@
         return;
     ++m_counts.cancelled;
     const bool begun = it->stage == Stage::Running || it->stage == Stage::Claiming;
-    if (begun && !it->route->idempotent) {
+    if (begun && !it->call.idempotent) {
         it->detached = true;
         it->unconsumed = 0;
         if (it->upstream)
@@ -353,7 +352,7 @@
     }
     if (it->upstream)
         it->upstream->cancel();
-    const bool offered = it->route != nullptr;
+    const bool offered = it->offered;
     m_calls.erase(id);
     if (offered)
         follow(policy::cancel(m_admission, { id }, base::steadyNow()));
--- a/src/appletally/node/owner_running.h
+++ b/src/appletally/node/owner_running.h
@@ -17,8 +17,7 @@
     Call call;
     CallHandler handler;
     Owner* owner = nullptr;
-    const config::Route* route = nullptr; // in `snapshot`
-    std::shared_ptr<const config::Snapshot> snapshot; // that the call began with
+    bool offered = false; // admission knows of it
     Stage stage = Stage::Offered;
     http::UpstreamCall* upstream = nullptr;
     base::UpstreamVersion version;
--- a/src/appletally/node/run.cpp
+++ b/src/appletally/node/run.cpp
@@ -37,6 +37,7 @@
 int runNode(const NodeSettings& settings, const MakePort& makePort)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN); // a port that can reload looks at its file by itself; unhandled it would end the process
     if (sodium_init() < 0)
         return base::exitCode(base::Code::Internal);
     base::startLog("appletally-node", settings.membership.host.text, settings.leastSeverity);
--- a/src/appletally/node/wire.cpp
+++ b/src/appletally/node/wire.cpp
@@ -41,6 +41,9 @@
     out.setInternal(in.internal);
     out.setConfigVersion(in.configVersion.value);
     out.setDepth(in.depth);
+    out.setIdempotent(in.idempotent);
+    out.setPriority(static_cast<uint8_t>(in.priority));
+    out.setExpectedMs(in.expected.ms);
     if (!in.old)
         return;
     out.setHasOld(true);
@@ -64,6 +67,9 @@
     out.internal = in.getInternal();
     out.configVersion = { in.getConfigVersion() };
     out.depth = in.getDepth();
+    out.idempotent = in.getIdempotent();
+    out.priority = static_cast<config::Priority>(std::min<uint8_t>(in.getPriority(), config::priorityCount - 1));
+    out.expected = { std::max<int64_t>(in.getExpectedMs(), 1) };
     if (in.getHasOld())
         out.old = policy::CallerBaseline { in.getOldFailures(), in.getOldMedianMs() };
     return out;
