Decisions about requests in the logs, as JSON lines on standard output that nothing waits for

Ruled out: Boost.Log's asynchronous sink, whose thread may hang on a full pipe while lines pile up in its queue; a write that is not taken at once is dropped and counted instead.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -15,6 +15,7 @@
     SettingsRefused = 104,
     StopBoundReached = 105,
     SettingsReloaded = 106,
+    LogLinesLeftOut = 107,
 
     // 2xx: configuration
     VersionApplied = 201,
@@ -48,6 +49,15 @@
     OutcomeLost = 502,
     OverloadBegan = 503,
     OverloadEnded = 504,
+    RequestSent = 511,
+    RequestAnswered = 512,
+    RequestRefused = 513,
+    RequestTriedAgain = 514,
+    RequestCancelled = 515,
+    CallQueued = 521,
+    CallRefused = 522,
+    CallEnded = 523,
+    CallFailed = 524,
 
     // 6xx: rollouts
     RolloutStarted = 601,
--- a/src/appletally/base/log.cpp
+++ b/src/appletally/base/log.cpp
@@ -1,30 +1,57 @@
-// The glue to Boost.Log: one console sink, and a ring of the last lines for the state dump.
+// The glue to Boost.Log: one sink that never waits, the lines' form, and a ring of the last events for the state dump.
 #include "appletally/base/log.h"
 
-#include "appletally/base/clock.h"
-
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <deque>
-#include <iostream>
+#include <fcntl.h>
 #include <mutex>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace appletally::base {
 
 namespace {
 
+    using Line = nlohmann::ordered_json;
+
     constexpr size_t keptEvents = 64; // enough for a person to read; a dump stays small
+    constexpr size_t longestLine = 4000; // below what a pipe takes whole or not at all
+
+    constexpr const char* severityNames[] = { "info", "warning", "error" };
+
+    // Writes to standard output and drops what it does not take at once.
+    class OutputBackend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding> {
+    public:
+        void consume(const boost::log::record_view&, const string_type& line)
+        {
+            if (m_dropped > 0 && put(R"({"name":"log-lines-dropped","lines":)" + std::to_string(m_dropped) + "}\n"))
+                m_dropped = 0;
+            if (!put(line + "\n"))
+                ++m_dropped;
+        }
+
+    private:
+        static bool put(const std::string& bytes)
+        {
+            const ssize_t n = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+            return n == static_cast<ssize_t>(bytes.size());
+        }
+
+        uint64_t m_dropped = 0;
+    };
 
     struct State {
-        std::mutex mutex; // guards all below; events are rare (never one per request), so contention is none
-        std::string prefix = "appletally";
+        std::mutex mutex; // guards all below
+        std::string program = "appletally";
+        std::string host;
         Severity least = Severity::Info;
         std::deque<std::string> recent;
+        LogBudget budget;
         boost::log::sources::logger logger;
         bool started = false; // before startLog, events are kept but not printed: tests stay quiet
     };
@@ -35,20 +62,45 @@
         return it;
     }
 
-    constexpr const char* severityNames[] = { "info", "warning", "error" };
+    Line head(const EventInfo& entry)
+    {
+        return { { "t", wallNow().ms }, { "program", state().program }, { "host", state().host }, { "severity", severityNames[entry.severity] },
+            { "event", static_cast<int>(entry.event) }, { "name", entry.name } };
+    }
+
+    std::string textOf(const Line& line)
+    {
+        std::string out = line.dump(-1, ' ', false, Line::error_handler_t::replace);
+        return out.size() <= longestLine ? out : out.substr(0, longestLine);
+    }
+
+    void write(const EventInfo& entry, const std::string& line)
+    {
+        if (state().started && entry.severity >= static_cast<int>(state().least))
+            BOOST_LOG(state().logger) << line;
+    }
+
+    void tellLeftOut()
+    {
+        const auto leftOut = takeLeftOut(state().budget, steadyNow());
+        if (leftOut.empty())
+            return;
+        Line line = head(info(Event::LogLinesLeftOut));
+        for (const auto& [event, n] : leftOut)
+            line[std::string(info(event).name)] = n;
+        write(info(Event::LogLinesLeftOut), textOf(line));
+    }
 
 } // namespace
 
 void startLog(const std::string& program, const std::string& host, Severity least)
 {
-    using Backend = boost::log::sinks::text_ostream_backend;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    boost::log::core::get()->add_sink(boost::make_shared<boost::log::sinks::synchronous_sink<Backend>>(backend));
-
+    if (const int flags = ::fcntl(STDOUT_FILENO, F_GETFL); flags >= 0 && !::isatty(STDOUT_FILENO))
+        ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    boost::log::core::get()->add_sink(boost::make_shared<boost::log::sinks::synchronous_sink<OutputBackend>>(boost::make_shared<OutputBackend>()));
     std::lock_guard lock(state().mutex);
-    state().prefix = program + " " + host;
+    state().program = program;
+    state().host = host;
     state().least = least;
     state().started = true;
 }
@@ -57,13 +109,29 @@
 {
     const EventInfo& entry = info(event);
     std::lock_guard lock(state().mutex);
-    std::string line = std::to_string(wallNow().ms) + " " + state().prefix + " " + severityNames[entry.severity] + " "
-        + std::to_string(static_cast<int>(event)) + " " + std::string(entry.name) + ": " + text;
-    state().recent.push_back(line);
+    Line line = head(entry);
+    line["text"] = text;
+    const std::string out = textOf(line);
+    state().recent.push_back(out);
     if (state().recent.size() > keptEvents)
         state().recent.pop_front();
-    if (state().started && entry.severity >= static_cast<int>(state().least))
-        BOOST_LOG(state().logger) << line;
+    write(entry, out);
+}
+
+void logRequest(Event event, std::string_view requestId, std::initializer_list<LogField> fields)
+{
+    const EventInfo& entry = info(event);
+    std::lock_guard lock(state().mutex);
+    if (!state().started || entry.severity < static_cast<int>(state().least))
+        return;
+    tellLeftOut();
+    if (!mayWrite(state().budget, event, steadyNow()))
+        return;
+    Line line = head(entry);
+    line["id"] = requestId;
+    for (const LogField& it : fields)
+        std::visit([&](const auto& value) { line[std::string(it.name)] = value; }, it.value);
+    write(entry, textOf(line));
 }
 
 std::vector<std::string> recentEvents()
@@ -72,4 +140,32 @@
     return { state().recent.begin(), state().recent.end() };
 }
 
+// --- The budget ---
+
+constexpr Duration second { 1000 };
+
+bool mayWrite(LogBudget& it, Event event, Time now)
+{
+    if (now - it.second >= second) {
+        it.second = now;
+        it.failures = 0;
+        it.others = 0;
+    }
+    const bool failure = info(event).severity > 0;
+    int& written = failure ? it.failures : it.others;
+    if (written >= (failure ? it.failuresPerSecond : it.othersPerSecond)) {
+        ++it.leftOut[event];
+        return false;
+    }
+    ++written;
+    return true;
+}
+
+std::map<Event, uint64_t> takeLeftOut(LogBudget& it, Time now)
+{
+    if (it.leftOut.empty() || now - it.second < second)
+        return {};
+    return std::exchange(it.leftOut, {});
+}
+
 } // namespace appletally::base
--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -28,6 +28,7 @@
 
 struct Ingress::Active {
     uint64_t id = 0;
+    std::string name; // under which the logs of all processes speak of it: the caller's id for this send
     Ingress* ingress = nullptr;
     http::CallerExchange* exchange = nullptr; // null: the caller left, and others wait for this run
     std::shared_ptr<const config::Snapshot> snapshot; // that the request began with
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -48,6 +48,9 @@
     int64_t runMicros = 0; // at the upstream
 };
 
+// Under which name the logs speak of a request: what its caller calls this send, or else what this process does.
+std::string nameOf(const std::vector<http::HeaderField>& headers, const std::string& idHeader, uint64_t own);
+
 // `end` comes once and last; `head` before any `body`. None is called from within the function that starts the call.
 struct CallHandler {
     std::function<void(const http::AnswerHead&)> head;
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -77,6 +77,7 @@
     void send(Active&);
     void startTry(Active&, const policy::Pick&, bool isHedge);
     std::optional<policy::Pick> pickFor(const Active&);
+    void logSent(const Active&, const Try&) const;
     void armHedge(Active&);
     void onHedgeTimer(Active&);
     void onTimer(Active&);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -166,6 +166,8 @@
     cancelAll(it);
     ++m_counts.answered;
     m_latency.add(base::steadyMicros() - it.beganMicros);
+    base::logRequest(base::Event::RequestAnswered, it.name,
+        { { "route", it.route->name.text }, { "upstream", tried.pick.host.text }, { "status", tried.head->status }, { "took_ms", (base::steadyNow() - it.began).ms }, { "tries", it.tries } });
     if (it.streaming) {
         it.exchange->gone = nullptr;
         it.exchange->drained = nullptr;
@@ -222,6 +224,8 @@
         return giveUp(it, last);
     }
     ++m_counts.retried;
+    base::logRequest(base::Event::RequestTriedAgain, it.name,
+        { { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.tries }, { "after_ms", decision.after.ms }, { "budget_thousandths", m_retries[it.call.service].tokens } });
     if (decision.after.ms <= 0)
         return send(it);
     it.waitsToRetry = true;
@@ -295,8 +299,9 @@
 {
     const bool notRun = base::info(error.code).notRun;
     ++(notRun ? m_counts.refused : m_counts.unknown);
-    if (!notRun)
-        base::logEvent(base::Event::OutcomeLost, it.route->name.text + ": " + error.text);
+    base::logRequest(notRun ? base::Event::RequestRefused : base::Event::OutcomeLost, it.name,
+        { { "route", it.route->name.text }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.tries }, { "took_ms", (base::steadyNow() - it.began).ms },
+            { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "retry_after_ms", error.retryAfter.ms }, { "config_version", static_cast<int64_t>(it.snapshot->version.value) } });
     it.exchange->gone = nullptr;
     it.exchange->drained = nullptr;
     reply(*it.exchange, error, notRun, policy::stopsRetriesAbove(error.code));
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -1,6 +1,7 @@
 // A caller's request from its arrival to its tries at upstreams.
 #include "appletally/node/active_request.h"
 
+#include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 #include "appletally/inner/cluster_key.h"
 #include "appletally/node/ingress_reply.h"
@@ -44,6 +45,8 @@
     const std::string* key = http::findHeader(request.headers, "Idempotency-Key");
     const auto refuse = [&](Code code, const std::string& text) {
         ++m_counts.refused;
+        base::logRequest(base::Event::RequestRefused, nameOf(request.headers, m_settings.dialect.requestId, m_lastId),
+            { { "code", static_cast<int64_t>(code) }, { "why", text }, { "config_version", static_cast<int64_t>(m_snapshot ? m_snapshot->version.value : 0) } });
         // Of a keyed request an earlier send may have run elsewhere; nobody has been asked about that here.
         reply(exchange, base::fail(code, text), base::info(code).notRun && !(key && m_settings.features.claims), false);
     };
@@ -69,6 +72,7 @@
     auto made = std::make_unique<Active>();
     Active& it = *made;
     it.id = ++m_lastId;
+    it.name = nameOf(request.headers, m_settings.dialect.requestId, it.id);
     it.ingress = this;
     it.exchange = &exchange;
     it.snapshot = m_snapshot;
@@ -226,6 +230,7 @@
                 return function(*active, *tried);
         }
     };
+    logSent(it, made);
     CallHandler handler;
     handler.head = [this, with](const http::AnswerHead& head) { with([&](Active& active, Try& tried) { onHead(active, tried, head); }); };
     handler.body = [this, with](evbuffer* buf) { with([&](Active& active, Try& tried) { onBody(active, tried, buf); }); };
@@ -241,6 +246,19 @@
     made.callId = m_peers->start(pick.host, address, call, it.route->idempotent, std::move(handler));
 }
 
+void Ingress::logSent(const Active& it, const Try& tried) const
+{
+    const auto& targets = m_routers.at(it.call.service).targets;
+    const auto found = targets.find(tried.pick.host);
+    if (found == targets.end())
+        return;
+    const policy::Target& target = found->second;
+    base::logRequest(base::Event::RequestSent, it.name,
+        { { "route", it.route->name.text }, { "service", it.call.service.text }, { "upstream", tried.pick.host.text }, { "version", tried.pick.version.text }, { "try", it.tries },
+            { "left_ms", (it.call.deadline - tried.sentAt).ms }, { "in_flight", target.inFlight }, { "running", target.load.running }, { "waiting", target.load.waiting }, { "slots", target.load.slots },
+            { "load_age_ms", (tried.sentAt - target.loadAt).ms }, { "config_version", static_cast<int64_t>(it.snapshot->version.value) } });
+}
+
 void Ingress::armHedge(Active& it)
 {
     if (!m_settings.features.hedges)
@@ -287,6 +305,7 @@
 void Ingress::leave(Active& it)
 {
     ++m_counts.gone;
+    base::logRequest(base::Event::RequestCancelled, it.name, { { "route", it.route->name.text }, { "after_ms", (base::steadyNow() - it.began).ms }, { "tries", it.tries } });
     it.exchange = nullptr;
     const bool shared = m_collapse.byRequest.contains({ it.id });
     if (!shared || it.streaming)
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -102,6 +102,8 @@
     void setTick(bool busy); // often while calls are here, seldom otherwise
     void refuse(Running&, base::Error);
     void finish(Running&, std::optional<base::Error>);
+    void logQueued(const Running&) const;
+    void logEnd(const Running&, const std::optional<base::Error>&) const;
     void record(const Running&, policy::RunEnd);
     policy::LocalVerdict* verdict(); // on the upstream's version; none without an upstream
     void loseUpstream(const std::string& why);
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -1,6 +1,7 @@
 // Runs calls on the upstream beside this node: admission, claim, run, answer. What is not proven is never "not run".
 #include "appletally/node/owner_running.h"
 
+#include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
     auto running = std::make_unique<Running>();
     Running& it = *running;
     it.id = ++m_lastId;
+    it.name = nameOf(call.headers, m_settings.dialect.requestId, it.id);
     it.call = std::move(call);
     it.handler = std::move(handler);
     it.owner = this;
@@ -47,7 +49,9 @@
     const policy::Decision decision = policy::offer(m_admission, arrival, now);
     if (decision.verdict == policy::Verdict::Run)
         run(it);
-    else if (decision.verdict == policy::Verdict::Refuse)
+    else if (decision.verdict == policy::Verdict::Wait)
+        logQueued(it);
+    else
         refuse(it, base::fail(decision.refusal.code, "no room in time", decision.refusal.retryAfter));
     follow({ {}, decision.displaced });
 }
@@ -323,9 +327,34 @@
     finish(it, std::move(error));
 }
 
+void Owner::logQueued(const Running& it) const
+{
+    const policy::Load load = currentLoad();
+    base::logRequest(base::Event::CallQueued, it.name, { { "route", it.call.route.text }, { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "running", load.running }, { "waiting", load.waiting }, { "slots", load.slots } });
+}
+
+void Owner::logEnd(const Running& it, const std::optional<base::Error>& error) const
+{
+    const policy::Load load = currentLoad();
+    if (!error) {
+        base::logRequest(base::Event::CallEnded, it.name, { { "route", it.call.route.text }, { "status", it.status }, { "ran_ms", it.ranMicros / 1000 }, { "running", load.running }, { "waiting", load.waiting } });
+        return;
+    }
+    base::logRequest(base::info(error->code).notRun ? base::Event::CallRefused : base::Event::CallFailed, it.name,
+        { { "route", it.call.route.text }, { "code", static_cast<int64_t>(error->code) }, { "why", error->text }, { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "running", load.running },
+            { "waiting", load.waiting }, { "slots", load.slots }, { "ran_ms", it.ranMicros / 1000 }, { "retry_after_ms", error->retryAfter.ms } });
+}
+
+std::string nameOf(const std::vector<http::HeaderField>& headers, const std::string& idHeader, uint64_t own)
+{
+    const std::string* id = idHeader.empty() ? nullptr : http::findHeader(headers, idHeader);
+    return id ? *id : "#" + std::to_string(own);
+}
+
 void Owner::finish(Running& it, std::optional<base::Error> error)
 {
     it.stage = Stage::Done;
+    logEnd(it, error);
     if (error && !base::info(error->code).notRun)
         ++m_counts.failed;
     CallEnd end { std::move(error), currentLoad(), it.ranMicros };
--- a/src/appletally/node/owner_running.h
+++ b/src/appletally/node/owner_running.h
@@ -14,6 +14,7 @@
 
 struct Owner::Running {
     OwnerCallId id = 0;
+    std::string name; // of the request, for the logs
     Call call;
     CallHandler handler;
     Owner* owner = nullptr;
