--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -118,6 +118,7 @@
     void setDraining(bool); // every answer then closes its connection
     void stopAccepting();
     void closeIdle(); // connections without a request under way
+    bool quiet() const { return m_connections.empty(); } // every answer is out; ending the process now cuts none
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
 
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -59,7 +59,7 @@
     void onSuspected(const base::HostId&); // reads under way there are tried elsewhere
     void drain(); // answers close their connections from now on
     void stop(); // takes no new connection; what is under way goes on
-    bool idle() const { return m_calls.empty(); }
+    bool idle() const { return m_calls.empty() && m_listener.quiet(); } // after stop()
     nlohmann::json toJson() const;
 
 private:
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -141,6 +141,49 @@
     bufferevent_free(raw);
 }
 
+TEST_CASE("a stopping node ends only when the caller has its whole answer", "[edge]")
+{
+    // A node is stopped for an update just as an upstream's answer has come, over a slow line. Ended with a part of the
+    // answer still in its own memory, the node cuts a member's payment whose outcome nobody then knows.
+    Edge edge;
+    edge.upstream->bodyBytes = 250 * 1024;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int little = 64 * 1024; // what the line takes at once
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &little, sizeof little);
+    sockaddr_in to {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(edge.node->addresses.callers.port);
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    constexpr int answers = 24; // together more than the system takes from the node at once
+    std::string requests;
+    for (int n = 0; n < answers; ++n)
+        requests += "GET /archive/" + std::to_string(n) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    REQUIRE(::write(fd, requests.data(), requests.size()) == static_cast<ssize_t>(requests.size()));
+    REQUIRE(edge.mesh.run([&] { return edge.upstream->runs == answers; }));
+
+    bool stopped = false;
+    edge.node->node->stop([&] { stopped = true; });
+    evutil_make_socket_nonblocking(fd);
+    event* awake = event_new(
+        edge.mesh.loop(), -1, EV_PERSIST, [](evutil_socket_t, short, void*) { }, nullptr);
+    const timeval often { 0, 1000 };
+    event_add(awake, &often);
+    size_t got = 0;
+    const base::Time begins = base::steadyNow() + base::Duration { 400 }; // later than the node would end by itself
+    REQUIRE(edge.mesh.run([&] {
+        char bytes[64 * 1024];
+        const ssize_t n = base::steadyNow() < begins ? 0 : ::read(fd, bytes, sizeof bytes);
+        got += n > 0 ? static_cast<size_t>(n) : 0;
+        if (stopped && edge.node->node)
+            edge.node->node.reset(); // the process is gone, and what it had not written with it
+        return stopped && n == 0 && base::steadyNow() >= begins;
+    }));
+    event_free(awake);
+    ::close(fd);
+    CHECK(got > answers * edge.upstream->bodyBytes);
+}
+
 TEST_CASE("the inner port closes on garbage, another cluster, a wrong key and oversized frames", "[edge]")
 {
     // Anybody on the network can connect to the inner port. What is sent there acts for callers, so only holders of
