Back sooner after a restart of all, and long answers stay in their zone

Ruled out: an election in the way (boot proofs need no leader), slow disks.

Change: waits between tries end at 1 s (200 ms between control processes); a version is copied out of the state only when it is handed out; upstreams in another zone count 3 ms for each KB of a route's usual answer; a node that has no configuration or upstream yet says to come back in 0.5 s.

--- a/src/appletally/control/peer_link.cpp
+++ b/src/appletally/control/peer_link.cpp
@@ -18,7 +18,7 @@
     constexpr base::Duration sharePause { 10 };
 
     // Voters find each other again quickly: until then a leader may lack its majority.
-    constexpr int mostCountedFailures = 3; // waits of at most 800 ms
+    constexpr int mostCountedFailures = 1; // waits of at most 200 ms; there are a dozen control processes and no herd
 
 } // namespace
 
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -12,6 +12,9 @@
     // A peer that lacks a record, for whatever reason, has it after at most 16 s.
     constexpr uint64_t wholeRecordEvery = 8;
 
+    // A version that is this far behind what the log hands out in the same step is not worth a copy.
+    constexpr uint64_t mostSkipped = 2;
+
     constexpr size_t keptOutcomes = 256; // proposals under way are a handful; answers are looked up right after
 
     // A voter that is behind catches up within a heartbeat or two; longer means that it has lost the others.
@@ -201,31 +204,46 @@
 {
     if (entry.kind != consensus::EntryKind::Data)
         return;
-    const config::Snapshot before = m_state.snapshot;
+    keepUnreleased();
+    const base::ConfigVersion before = m_state.snapshot.version;
+    const RolloutsById rollouts = m_state.snapshot.rollouts;
     config::Outcome outcome = config::apply(m_state, entry.index, entry.data);
     if (outcome.code != base::Code::Ok)
         base::logEvent(base::Event::SubmitRefused, outcome.text);
     m_outcomes[entry.index] = std::move(outcome);
     if (m_outcomes.size() > keptOutcomes)
         m_outcomes.erase(m_outcomes.begin());
-    if (m_state.snapshot.version == before.version)
+    if (m_state.snapshot.version == before)
         return;
     noteVersion();
-    noteRollouts(before);
+    noteRollouts(rollouts);
+}
+
+// Versions are copied out of the state only when they are handed out, or when they may be and the next one comes: a
+// process that starts again applies hundreds of entries of which nobody wants any but the last.
+void ControlProcess::keepUnreleased()
+{
+    const auto newest = m_unreleased.find(m_state.snapshot.version);
+    if (newest == m_unreleased.end() || newest->second)
+        return;
+    if (m_replica && m_replica->replica().applied.value > newest->first.value + mostSkipped)
+        m_unreleased.erase(newest); // replaying: many more follow at once
+    else
+        newest->second = std::make_shared<config::Snapshot>(m_state.snapshot);
 }
 
 // Each replica logs what became of rollouts, so that the story is whole wherever the leader was.
-void ControlProcess::noteRollouts(const config::Snapshot& before)
+void ControlProcess::noteRollouts(const RolloutsById& before)
 {
     for (const auto& [id, it] : m_state.snapshot.rollouts) {
-        auto old = before.rollouts.find(id);
+        auto old = before.find(id);
         const std::string text = id.text + ": " + std::to_string(it.share.value) + " per mille for " + it.to.text;
-        if (old == before.rollouts.end())
+        if (old == before.end())
             base::logEvent(base::Event::RolloutStarted, text);
         else if (old->second.share < it.share)
             base::logEvent(base::Event::RolloutShareRaised, text);
     }
-    for (const auto& [id, it] : before.rollouts) {
+    for (const auto& [id, it] : before) {
         if (m_state.snapshot.rollouts.contains(id) || m_state.ended.empty())
             continue;
         const config::RolloutRecord& record = m_state.ended.back();
@@ -241,7 +259,7 @@
     const base::ConfigVersion version = m_state.snapshot.version;
     if (version.value == 0)
         return;
-    m_unreleased[version] = std::make_shared<config::Snapshot>(m_state.snapshot);
+    m_unreleased[version] = nullptr;
     accepted(m_convergence, version, base::steadyNow());
     const std::string what = m_state.versions.empty() ? "" : ", " + m_state.versions.back().what;
     base::logEvent(base::Event::VersionAccepted, "version " + std::to_string(version.value) + what);
@@ -255,7 +273,9 @@
     const base::Time now = base::steadyNow();
     auto end = m_unreleased.upper_bound({ m_releasedIndex.value });
     if (end != m_unreleased.begin()) {
-        const auto newest = std::prev(end)->second;
+        auto newest = std::prev(end)->second;
+        if (!newest)
+            newest = std::make_shared<config::Snapshot>(m_state.snapshot);
         for (auto it = m_unreleased.begin(); it != end; ++it)
             control::released(m_convergence, it->first, now);
         m_unreleased.erase(m_unreleased.begin(), end);
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -82,8 +82,10 @@
     void send(const consensus::Message&);
     void restore(const consensus::Snapshot&);
     void apply(const consensus::Entry&);
+    void keepUnreleased(); // before the state changes: what may still be handed out is copied
     void noteVersion();
-    void noteRollouts(const config::Snapshot& before);
+    using RolloutsById = std::map<base::RolloutId, config::Rollout>;
+    void noteRollouts(const RolloutsById& before);
     void releasedUpTo(base::LogIndex);
 
     // Reports
@@ -126,7 +128,7 @@
 
     // Agreed; a relay has only what its source gave it.
     config::State m_state;
-    std::map<base::ConfigVersion, std::shared_ptr<const config::Snapshot>> m_unreleased;
+    std::map<base::ConfigVersion, std::shared_ptr<const config::Snapshot>> m_unreleased; // null: m_state's own, not copied yet
     base::LogIndex m_releasedIndex;
     std::vector<ReleaseWaiter> m_releaseWaiters;
     std::vector<InForceWaiter> m_inForceWaiters;
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -90,7 +90,7 @@
 {
     const base::Time now = base::steadyNow();
     const Duration took = now - tried.sentAt;
-    policy::answered(m_routers[it.call.service], { tried.pick.host, it.route->name, kind, took, load }, now);
+    policy::answered(m_routers[it.call.service], { tried.pick.host, it.route->name, kind, took, load, { tried.bodyBytes } }, now);
     // A first try that lost against its copy counts as well, or the slowest would be missing from the estimate.
     const bool lostToHedge = kind == AnswerKind::Cancelled && it.tries == 2 && it.underWay.size() > 0;
     if (!tried.isHedge && (kind == AnswerKind::Good || lostToHedge))
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -16,6 +16,9 @@
 using base::Time;
 using policy::AnswerKind;
 
+// A node that has just started has its configuration and its upstreams within half a second as a rule.
+constexpr Duration startingPause { 500 };
+
 constexpr size_t keyBytesLimit = 256;
 constexpr Duration oneWay { 1 }; // between two availability zones, rounded; the brief's are 0.5 and 1.5 ms apart
 constexpr uint8_t mostDepth = 16; // calls are up to 7 deep; more than twice that is a loop
@@ -43,15 +46,15 @@
 {
     const http::CallerRequest& request = exchange.request();
     const std::string* key = http::findHeader(request.headers, "Idempotency-Key");
-    const auto refuse = [&](Code code, const std::string& text) {
+    const auto refuse = [&](Code code, const std::string& text, Duration retryAfter = {}) {
         ++m_counts.refused;
         base::logRequest(base::Event::RequestRefused, nameOf(request.headers, m_settings.dialect.requestId, m_lastId),
             { { "code", static_cast<int64_t>(code) }, { "why", text }, { "config_version", static_cast<int64_t>(m_snapshot ? m_snapshot->version.value : 0) } });
         // Of a keyed request an earlier send may have run elsewhere; nobody has been asked about that here.
-        reply(exchange, base::fail(code, text), base::info(code).notRun && !(key && m_settings.features.claims), false);
+        reply(exchange, base::fail(code, text, retryAfter), base::info(code).notRun && !(key && m_settings.features.claims), false);
     };
     if (!m_snapshot)
-        return refuse(Code::NotReady, "no proven configuration yet");
+        return refuse(Code::NotReady, "no proven configuration yet", startingPause);
     const config::Route* route = routeOf(request);
     if (!route)
         return refuse(Code::NoRoute, "no route for " + request.method + " " + request.path);
@@ -147,7 +150,7 @@
     event_add(it.timer, &left);
     const auto pick = pickFor(it);
     if (!pick)
-        return onFailedTry(it, base::fail(Code::NoUpstream, "no upstream of " + it.call.service.text + " can take it", Duration { 1000 }));
+        return onFailedTry(it, base::fail(Code::NoUpstream, "no upstream of " + it.call.service.text + " can take it", startingPause));
     if (it.tries == 0) {
         policy::earn(m_retries[it.call.service]);
         policy::earn(m_hedges[it.call.service]);
--- a/src/appletally/policy/reconnect.cpp
+++ b/src/appletally/policy/reconnect.cpp
@@ -7,8 +7,11 @@
 namespace {
 
     constexpr base::Duration firstBackoff { 100 }; // a lost connection comes back within this where nothing is wrong
-    constexpr base::Duration longestBackoff { 10'000 }; // a source that is back is found by all within this
-    constexpr int mostDoublings = 7;
+    // A source that is back is found by all within this. A node that was cut off serves an old version until then, and
+    // operators are told after two seconds that the new one is in force everywhere within reach. 2,500 nodes that try once
+    // a second are 180 refused connections a second at each of 14 sources, which the kernel answers.
+    constexpr base::Duration longestBackoff { 1000 };
+    constexpr int mostDoublings = 4;
 
     // Places are given out at nine tenths of the rate: what is left lets in those who come late for their place.
     constexpr double promisedShare = 0.9;
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -14,12 +14,17 @@
     // Both deployments lie between: a round trip between two zones takes 1 ms or 3 ms.
     constexpr double otherZone = 2; // milliseconds
 
+    // Bytes between zones are paid for. A kilobyte is worth this much waiting in the own zone: an archive of 90 KB stays
+    // there unless its caller would wait a quarter of a second longer, a status of 1 KB goes wherever it is answered first.
+    constexpr double zoneMsPerKilobyte = 3;
+
     // Weight of one answer in an upstream's pace. Runs vary by about their own mean, which makes this pace vary by a
     // quarter, so up to twice as slow is taken for usual; a bound of 1.5 turned one good answer in thirty into an
     // avoided upstream. Three times as slow shows after seven answers, ten times as slow after two.
     constexpr double paceWeight = 0.1;
     constexpr double usualPace = 2;
     constexpr double mostPace = 100;
+    constexpr double sizeWeight = 0.05; // sizes of one route vary by about their own mean
     constexpr double routeWeight = 0.02; // the usual time of a route moves fifty times slower than answers come
 
     // Without answers from it a slow upstream is tried again after a while: one that was five times as slow after 4 s.
@@ -148,7 +153,8 @@
         const double seen = paceNow(target, now);
         const double pace = seen > usualPace ? seen : 1;
         const double queue = std::max(0.0, busy + 1 - fullShare * slots) / slots + levelling * std::min(busy, slots) / slots;
-        const double way = target.endpoint.zone == it.zone ? 0 : otherZone;
+        const double kilobytes = known == it.routes.end() ? 0 : known->second.kilobytes;
+        const double way = target.endpoint.zone == it.zone ? 0 : otherZone + kilobytes * zoneMsPerKilobyte;
         return pace * usual * (1 + queue) + way;
     }
 
@@ -191,8 +197,11 @@
             return;
         target.pace = before + (ratio - before) * paceWeight;
         target.paceAt = now;
-        if (whole)
-            route.mean += (took - route.mean) * routeWeight;
+        if (!whole)
+            return;
+        route.mean += (took - route.mean) * routeWeight;
+        const double kilobytes = static_cast<double>(answer.size.count) / 1024;
+        route.kilobytes += (kilobytes - route.kilobytes) * (route.kilobytes == 0 ? 1 : sizeWeight);
     }
 
     void observeOutcome(Router& it, const Target& target, const Answered& answer, base::Time now)
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -36,6 +36,7 @@
 // What is usual on one route, over all upstreams of the service.
 struct RoutePace {
     double mean = 0; // milliseconds to an answer; 0: none yet
+    double kilobytes = 0; // of an answer, a moving mean
 };
 
 constexpr int64_t wholeShare = 1000; // PerMille of all
@@ -81,6 +82,7 @@
     AnswerKind kind = AnswerKind::Good;
     base::Duration took {}; // from sending to the whole answer
     std::optional<Load> load; // as carried; none where nothing came back
+    base::Bytes size {}; // of the answer's body
 };
 
 // Endpoints that are new or have changed; state Gone removes one. Older (incarnation, sequence) are passed over.
