A stopping node's upstream serves on; a version that starts in an outage is not judged; old runs end before completion

And a rollout's last step let operators stop the old version with a third of the traffic still at it.

Ruled out: the outlier ejection emptying the service (its upstreams were draining).

Change: a stopping node drains its upstream only half a second before it closes; failures while cold do not count when the caller's node sees the old version fail too; a rollout completes 1.5 s after its last step.

Test: the cold verdict, which stopped the version before. The drain's timing is held by the existing stop test.

--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -15,6 +15,10 @@
 
 constexpr Duration tickEvery { 50 };
 
+// A stopping node's upstream goes on beside it. Taken out for the whole stop, a service of three that is restarted one
+// after the other had none left for a second; other nodes hear of it within a tenth of this.
+constexpr Duration ownerDrainsBefore { 500 };
+
 static base::Incarnation freshIncarnation()
 {
     // Later starts are higher; the low bits tell two starts within one millisecond apart.
@@ -142,6 +146,7 @@
     if (!m_stopped)
         return;
     const Duration stopping = now - m_stopAt;
+    drainOwnerInTime(stopping);
     if (stopping >= m_settings.drainTime && !m_acceptingStopped) {
         m_acceptingStopped = true;
         m_ingress.stop();
@@ -156,13 +161,21 @@
     stopped();
 }
 
+void Node::drainOwnerInTime(Duration stopping)
+{
+    if (m_ownerDraining || stopping < m_settings.drainTime - ownerDrainsBefore)
+        return;
+    m_ownerDraining = true;
+    m_owner.drain();
+}
+
 void Node::stop(std::function<void()> stopped)
 {
     base::logEvent(Event::Stopping, "drains for " + std::to_string(m_settings.drainTime.ms) + " ms, ends within " + std::to_string(m_settings.stopBound.ms) + " ms");
     m_stopped = std::move(stopped);
     m_stopAt = base::steadyNow();
-    m_owner.drain();
     m_ingress.drain();
+    drainOwnerInTime({});
 }
 
 bool Node::ready() const { return m_snapshot && m_endpointsTold && !m_stopped; }
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -32,8 +32,9 @@
 
     base::Result<NodeAddresses> listen(); // AddressInUse names the address
 
-    // Graceful: announces draining, serves what still arrives for drainTime, then closes the listener and waits for
-    // what runs, at most until stopBound. `stopped` is called from the loop.
+    // Graceful: serves what still arrives for drainTime while callers move on, and lets other nodes use its upstream for
+    // most of it; then announces draining, closes the listener and waits for what runs, at most until stopBound.
+    // `stopped` is called from the loop.
     void stop(std::function<void()> stopped);
 
     // --- For a port on which the upstream speaks another protocol ---
@@ -50,6 +51,7 @@
     void onMessage(const inner::DumpAsked&);
     void announceEndpoint();
     void onTick();
+    void drainOwnerInTime(base::Duration stopping);
     nlohmann::json toJson() const;
 
     event_base* m_loop;
@@ -75,6 +77,7 @@
     std::function<void()> m_stopped; // set: stopping
     base::Time m_stopAt;
     bool m_acceptingStopped = false;
+    bool m_ownerDraining = false;
 };
 
 // A port beside the node's own, on which the upstream or the platform speak another protocol.
--- a/src/appletally/policy/local_verdict.cpp
+++ b/src/appletally/policy/local_verdict.cpp
@@ -62,12 +62,18 @@
         evidence.busyLatency[bin] += answer.busy ? 1 : 0;
     }
 
+    // What both versions call may be down just while the new one starts. Its failures are then no sign of a bad version,
+    // and taken for one they take back a good one within a second.
+    constexpr double othersFailToo = 0.25;
+
     void countCold(LocalVerdict& verdict, config::Evidence& evidence, const LocalAnswer& answer)
     {
+        const bool shared = answer.old && answer.old->failureRate >= othersFailToo;
+        const bool failed = answer.failed && !shared;
         ++evidence.coldAnswers;
         ++verdict.coldAnswers;
-        evidence.coldFailures += answer.failed ? 1 : 0;
-        verdict.coldFailures += answer.failed ? 1 : 0;
+        evidence.coldFailures += failed ? 1 : 0;
+        verdict.coldFailures += failed ? 1 : 0;
     }
 
     LocalRoute& routeOf(LocalVerdict& verdict, const base::RouteName& name)
--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -325,6 +325,10 @@
         return !answers.empty() && std::all_of(answers.begin(), answers.end(), [&](const auto& it) { return it.second >= state.settings.provenAnswers; });
     }
 
+    // A completed rollout lets operators stop the old version at once. What it was given before the last step has ended by
+    // then, and the step has reached every node; completed with the last step, a third of the traffic was cut.
+    constexpr base::Duration lastRunsEnd { 1500 };
+
     RolloutStep keep(const config::Rollout& plan, std::string why) { return { RolloutAction::Keep, plan.share, std::move(why) }; }
 
     const RolloutRung* nextRung(const RolloutState& state, const config::Rollout& plan)
@@ -345,8 +349,11 @@
     RolloutStep climb(RolloutState& state, const config::Rollout& plan, double worst, base::WallTime now)
     {
         const RolloutRung* rung = nextRung(state, plan);
-        if (!rung)
+        if (!rung) {
+            if (now - state.lastRise < lastRunsEnd)
+                return keep(plan, "requests still run at the old version");
             return { RolloutAction::Complete, { 1000 }, "all traffic has moved" };
+        }
         const double fraction = elapsed(state, plan, now);
         const bool trial = rung == &state.settings.ladder.front();
         if (!trial && now - state.lastRise < state.settings.leastDwell)
@@ -362,8 +369,6 @@
         base::PerMille share = rung->share;
         if (trial)
             share = std::min(share, std::max(plan.mostTrialShare, base::PerMille { 1 }));
-        if (share.value >= 1000)
-            return { RolloutAction::Complete, { 1000 }, due ? "the schedule asks for it and nothing speaks against it" : "proven on every route" };
         return { RolloutAction::Raise, share, due ? "the schedule asks for it and nothing speaks against it" : "proven on every route" };
     }
 
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -56,6 +56,32 @@
     }
 }
 
+TEST_CASE("a new version that starts while what both versions call is down is not judged for it", "[rollout]")
+{
+    // The catalogue has no upstream for a second, so every answer of the subscription service fails, whichever version
+    // gives it. A new version that starts just then fails from its first answer on, and its team finds a good one taken back.
+    for (const double oldFailures : { 0.6, 0.01 }) {
+        LocalVerdict verdict = startLocalVerdict({ "host" }, { 1 }, { "plugs" }, { "fresh" }, { 0 });
+        config::Snapshot snapshot;
+        config::Rollout rollout;
+        rollout.id = { "r" };
+        rollout.service = { "plugs" };
+        rollout.from = { "old" };
+        rollout.to = { "fresh" };
+        snapshot.rollouts[rollout.id] = rollout;
+        onSnapshot(verdict, snapshot);
+        onUpstreamReady(verdict, { 0 });
+        for (int n = 0; n < 12; ++n)
+            onLocalAnswer(verdict, { { "route" }, true, { 5 }, false, CallerBaseline { oldFailures, 5 } }, { 10 + n });
+        INFO("the old version fails " << oldFailures);
+        CHECK(mayRun(verdict) == (oldFailures > 0.5));
+        const std::vector<config::Evidence> told = reportOf(verdict);
+        REQUIRE(told.size() == 1);
+        CHECK(told[0].coldAnswers == (oldFailures > 0.5 ? 12 : told[0].coldAnswers));
+        CHECK((told[0].coldFailures == 0) == (oldFailures > 0.5));
+    }
+}
+
 TEST_CASE("bad versions are taken back and hurt few, against a rollout by the clock alone", "[rollout][slow-upstream]")
 {
     // A version fails or is slow, at once or later, only under load or on one route. By the clock alone it reaches every
