Metrics in Prometheus' text format, and tests of the adapter, of formation and of the small modules

Change: base/metrics_text with one table of all metrics, served by nodes and control processes on the platform at 9464/metrics; docs/METRICS.md, held to the table by a test.

The test of a restarted node without configuration was not run against the code before its mend.

--- a/src/appletally/base/histogram.cpp
+++ b/src/appletally/base/histogram.cpp
@@ -19,6 +19,7 @@
 {
     m_counts(static_cast<double>(std::max<int64_t>(micros, 1)));
     m_most = std::max(m_most, micros);
+    m_sum += micros;
     ++m_count;
 }
 
@@ -34,6 +35,17 @@
     return static_cast<double>(m_most);
 }
 
+uint64_t LatencyHistogram::countUpTo(int64_t micros) const
+{
+    double seen = 0;
+    for (auto&& bin : boost::histogram::indexed(m_counts, boost::histogram::coverage::all)) {
+        if (bin.bin().upper() > static_cast<double>(micros))
+            break;
+        seen += *bin;
+    }
+    return static_cast<uint64_t>(seen);
+}
+
 nlohmann::json LatencyHistogram::toJson() const
 {
     return { { "count", m_count }, { "p50", quantile(0.5) }, { "p90", quantile(0.9) }, { "p99", quantile(0.99) }, { "max", m_most } };
--- a/src/appletally/base/histogram.h
+++ b/src/appletally/base/histogram.h
@@ -13,6 +13,8 @@
 
     void add(int64_t micros);
     uint64_t count() const { return m_count; }
+    int64_t sumMicros() const { return m_sum; }
+    uint64_t countUpTo(int64_t micros) const; // of those in bins that end at or below it
 
     // Upper edge in microseconds of the bin that holds the quantile `q` (0 to 1); 0 where nothing was added.
     double quantile(double q) const;
@@ -26,6 +28,7 @@
     Counts m_counts;
     uint64_t m_count = 0;
     int64_t m_most = 0;
+    int64_t m_sum = 0;
 };
 
 } // namespace appletally::base
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -48,6 +48,7 @@
 
     // --- For an operators' port of another kind (control/documents.cpp). All of them only on the leader: NotLeader else ---
 
+    std::string metrics() const; // in Prometheus' text format
     bool leads() const { return m_replica && m_leading; }
     base::HostId leaderHost() const; // empty: none known
     void addSeeds(const std::vector<base::Address>&); // the settings name further ones
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -2,6 +2,7 @@
 #include "appletally/node/active_request.h"
 
 #include "appletally/base/log.h"
+#include "appletally/config/codec.h"
 #include "appletally/inner/cluster_key.h"
 
 #include <algorithm>
@@ -137,6 +138,30 @@
     m_listener.closeIdle();
 }
 
+void Ingress::writeMetrics(base::MetricsText& out) const
+{
+    const auto count = [&](const char* name, const char* label, uint64_t n) { out.add(name, label, static_cast<double>(n)); };
+    count("appletally_requests_total", "outcome=\"answered\"", m_counts.answered);
+    count("appletally_requests_total", "outcome=\"refused\"", m_counts.refused);
+    count("appletally_requests_total", "outcome=\"unknown\"", m_counts.unknown);
+    count("appletally_requests_total", "outcome=\"caller_left\"", m_counts.gone);
+    count("appletally_request_tries_total", "kind=\"retry\"", m_counts.retried);
+    count("appletally_request_tries_total", "kind=\"hedge\"", m_counts.hedged);
+    out.add("appletally_request_latency_ms", "", m_latency);
+    count("appletally_requests_running", "", m_calls.size());
+    const http::ListenerCounts& in = m_listener.counts();
+    count("appletally_caller_connections", "", in.connections);
+    count("appletally_caller_refusals_total", "reason=\"malformed\"", in.malformed);
+    count("appletally_caller_refusals_total", "reason=\"too_large\"", in.tooLarge);
+    count("appletally_caller_refusals_total", "reason=\"too_slow\"", in.tooSlow);
+    count("appletally_caller_refusals_total", "reason=\"too_many_connections\"", in.turnedAway);
+    std::map<std::string, size_t> states;
+    for (const auto& [host, it] : m_endpoints)
+        ++states[config::stateName(it.state)];
+    for (const auto& [state, n] : states)
+        count("appletally_known_upstreams", ("state=\"" + state + "\"").c_str(), n);
+}
+
 nlohmann::json Ingress::toJson() const
 {
     nlohmann::json out;
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "appletally/base/histogram.h"
+#include "appletally/base/metrics_text.h"
 #include "appletally/config/route_match.h"
 #include "appletally/http/caller_listener.h"
 #include "appletally/node/dialect.h"
@@ -61,6 +62,7 @@
     void stop(); // takes no new connection; what is under way goes on
     bool idle() const { return m_calls.empty() && m_listener.quiet(); } // after stop()
     nlohmann::json toJson() const;
+    void writeMetrics(base::MetricsText&) const;
 
 private:
     struct Try;
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -180,6 +180,18 @@
 
 bool Node::ready() const { return m_snapshot && m_endpointsTold && !m_stopped; }
 
+std::string Node::metrics() const
+{
+    base::MetricsText out;
+    m_ingress.writeMetrics(out);
+    m_owner.writeMetrics(out);
+    out.add("appletally_config_version", "", static_cast<double>(m_snapshot ? m_snapshot->version.value : 0));
+    out.add("appletally_control_reachable", "", m_controlReachable ? 1 : 0);
+    out.add("appletally_node_links", "direction=\"in\"", static_cast<double>(m_ownerLinks.links()));
+    out.add("appletally_node_links", "direction=\"out\"", static_cast<double>(m_peers.links()));
+    return out.text();
+}
+
 nlohmann::json Node::toJson() const
 {
     nlohmann::json out;
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -41,6 +41,7 @@
 
     void announce(const Announcement& it) { m_owner.announce(it); }
     void upstreamLeft() { m_owner.upstreamLeft(); }
+    std::string metrics() const; // in Prometheus' text format
     bool ready() const; // has a proven configuration and knows who serves it, and does not stop
 
 private:
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -212,6 +212,27 @@
     return out;
 }
 
+void Owner::writeMetrics(base::MetricsText& out) const
+{
+    const auto count = [&](const char* name, const char* label, uint64_t n) { out.add(name, label, static_cast<double>(n)); };
+    count("appletally_calls_total", "outcome=\"ran\"", m_counts.ran);
+    count("appletally_calls_total", "outcome=\"refused\"", m_counts.refused);
+    count("appletally_calls_total", "outcome=\"cancelled\"", m_counts.cancelled);
+    count("appletally_calls_total", "outcome=\"failed\"", m_counts.failed);
+    out.add("appletally_upstream_run_ms", "", m_runTime);
+    const policy::Load load = currentLoad();
+    out.add("appletally_upstream_calls", "stage=\"running\"", load.running);
+    out.add("appletally_upstream_calls", "stage=\"waiting\"", load.waiting);
+    out.add("appletally_upstream_slots", "", load.slots);
+    if (!m_client)
+        return;
+    const http::ClientCounts& connections = m_client->counts();
+    count("appletally_upstream_connections_total", "kind=\"new\"", connections.dialed);
+    count("appletally_upstream_connections_total", "kind=\"kept\"", connections.reused);
+    count("appletally_upstream_connections_total", "kind=\"stray_answer\"", connections.strayAnswers);
+    count("appletally_upstream_connections_total", "kind=\"stray_bytes\"", connections.strayBytes);
+}
+
 nlohmann::json Owner::toJson() const
 {
     nlohmann::json out;
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "appletally/base/histogram.h"
+#include "appletally/base/metrics_text.h"
 #include "appletally/config/endpoint.h"
 #include "appletally/config/evidence.h"
 #include "appletally/config/model.h"
@@ -82,6 +83,7 @@
     policy::Load currentLoad() const;
     std::vector<config::Evidence> takeEvidence(); // that has grown since the last time
     nlohmann::json toJson() const;
+    void writeMetrics(base::MetricsText&) const;
 
 private:
     struct Running;
--- /dev/null
+++ b/tests/formation_test.cpp
@@ -0,0 +1,193 @@
+// A mesh that finds itself: first members, lost disks, damaged folders; and the small modules that came with it.
+#include "appletally/base/log.h"
+#include "appletally/base/metrics_text.h"
+#include "appletally/config/generate.h"
+#include "appletally/config/route_match.h"
+#include "appletally/control/formation.h"
+#include "appletally/policy/split.h"
+#include "node_fixture.h"
+#include "process_fixture.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <unistd.h>
+
+using namespace appletally;
+
+namespace {
+
+control::ControlSettings settingsAt(const std::string& ip, bool firstStart, const std::string& data = "")
+{
+    control::ControlSettings out;
+    out.listen = { ip, 70 };
+    out.membership.host = { out.listen.text() };
+    out.seeds = { { "10.0.0.1", 70 }, { "10.0.0.2", 70 }, { "10.0.0.3", 70 } };
+    out.firstStart = firstStart;
+    out.data = data;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("seeds that start in any order are the same first voters, everybody else waits to be let in", "[formation]")
+{
+    const auto one = control::formationOf(settingsAt("10.0.0.1", true), { 9 });
+    const auto three = control::formationOf(settingsAt("10.0.0.3", true), { 8 });
+    CHECK(one.members == three.members);
+    REQUIRE(one.members.size() == 3);
+    CHECK(one.id != three.id);
+    CHECK(std::any_of(one.members.begin(), one.members.end(), [&](const consensus::Member& it) { return it.id == one.id && it.host.text == "10.0.0.1:70" && it.role == consensus::Role::Voter; }));
+    const auto further = control::formationOf(settingsAt("10.0.0.4", true), { 7 });
+    CHECK(further.members.empty());
+    CHECK(further.id.value == 7);
+}
+
+TEST_CASE("a host that lost its disk comes back as another replica", "[formation]")
+{
+    // A control host loses its disk just after it promised a vote. Under its old id it would vote again in the same term,
+    // and two leaders could stand.
+    const auto again = control::formationOf(settingsAt("10.0.0.1", false), { 9 });
+    CHECK(again.members.empty());
+    CHECK(again.id.value == 9);
+}
+
+TEST_CASE("a damaged folder is set aside and its replica starts anew", "[formation]")
+{
+    process_test::Folder folder;
+    const control::ControlSettings settings = settingsAt("10.0.0.1", true, folder / "data");
+    const auto first = control::openOrForm(consensus::systemFileCalls(), settings);
+    REQUIRE(first);
+    const base::ReplicaId id = first.value().id;
+    consensus::DiskLog log = first.value();
+    consensus::closeFolder(log);
+    const int fd = ::open((folder / "data/snapshot").c_str(), O_WRONLY);
+    REQUIRE(::pwrite(fd, "damage", 6, 4) == 6);
+    ::close(fd);
+    auto anew = control::openOrForm(consensus::systemFileCalls(), settings);
+    REQUIRE(anew);
+    CHECK(anew.value().id != id);
+    CHECK(anew.value().snapshot.meta.members.list.empty());
+    consensus::closeFolder(anew.value());
+}
+
+TEST_CASE("routes of a host go before those of any host, and a prefix that ends in a slash covers only what is below", "[config]")
+{
+    config::Snapshot snapshot;
+    const auto add = [&](const std::string& name, const std::string& host, const std::string& prefix) {
+        config::Route it;
+        it.name = { name };
+        it.host = host;
+        it.pathPrefix = prefix;
+        it.method = "*";
+        snapshot.routes[it.name] = it;
+    };
+    add("any", "", "/a");
+    add("own", "x.example", "/a/");
+    add("deep", "x.example", "/a/b/");
+    const config::RouteIndex index = config::buildRouteIndex(snapshot);
+    const auto found = [&](const std::string& host, const std::string& path) {
+        const config::Route* it = config::match(index, host, "GET", path);
+        return it ? it->name.text : "none";
+    };
+    CHECK(found("x.example", "/a/c?q=/b/") == "own");
+    CHECK(found("X.Example:80", "/a/b/c") == "deep");
+    CHECK(found("x.example", "/a/b") == "own");
+    CHECK(found("x.example", "/a") == "any");
+    CHECK(found("y.example", "/a/b/c") == "any");
+    CHECK(found("x.example", "/ab/") == "none");
+}
+
+TEST_CASE("a part of a route's traffic gets its weight, also over few requests", "[policy][split]")
+{
+    policy::SplitTurns turns;
+    const std::vector<config::RouteSplit> splits { { { "a" }, 90 }, { { "b" }, 10 }, { { "c" }, 0 } };
+    std::map<std::string, int> got;
+    for (int n = 0; n < 20; ++n)
+        ++got[policy::nextSplit(turns, splits).text];
+    CHECK(got["a"] == 18);
+    CHECK(got["b"] == 2);
+    CHECK(got["c"] == 0);
+}
+
+TEST_CASE("a node that has just started runs what other nodes send it, and calls no route unknown", "[node]")
+{
+    // The node beside an upstream restarts and has no configuration yet. Callers of other nodes, who have one, were told
+    // that their route does not exist, and their clients gave up for good.
+    TestMesh mesh;
+    TestUpstream upstream(mesh.loop());
+    TestNode& caller = mesh.addNode("a", "z1");
+    TestNode& owner = mesh.addNode("b", "z1");
+    mesh.announce(owner, upstream, "ready");
+    mesh.applyEverywhere("examples/berthgrid.json");
+    const uint16_t port = owner.addresses.inner.port;
+    mesh.removeNode("b");
+    TestNode& again = mesh.addNode("b", "z1");
+    CHECK(again.addresses.inner.port != port);
+    mesh.announce(again, upstream, "ready");
+    mesh.shareEndpoints();
+    const auto answer = mesh.ask(caller, "GET", "/berths/7", { "Request-Tag: t" });
+    REQUIRE(mesh.run([&] { return answer->done; }));
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "t");
+}
+
+TEST_CASE("lines about requests have a budget, failures their own, and what is left out is counted", "[log]")
+{
+    // At ten times overload a node refuses a thousand requests a second. Written one by one, the lines take the processor
+    // that would have served the others.
+    base::LogBudget budget;
+    int failures = 0;
+    for (int n = 0; n < 1000; ++n) {
+        base::mayWrite(budget, base::Event::RequestSent, { n });
+        failures += base::mayWrite(budget, base::Event::RequestRefused, { n }) ? 1 : 0;
+    }
+    CHECK(failures == budget.failuresPerSecond);
+    const auto leftOut = base::takeLeftOut(budget, { 1001 });
+    CHECK(leftOut.at(base::Event::RequestRefused) == 1000 - static_cast<uint64_t>(failures));
+    CHECK(base::takeLeftOut(budget, { 1002 }).empty());
+    CHECK(base::mayWrite(budget, base::Event::RequestRefused, { 1003 }));
+}
+
+TEST_CASE("the page of metrics has what the processes serve", "[log]")
+{
+    std::ifstream in(std::string(SOURCE_FOLDER) + "/docs/METRICS.md");
+    const std::string page((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    for (const base::MetricInfo& it : base::allMetrics()) {
+        INFO(it.name);
+        CHECK(page.find("| " + std::string(it.name) + " |") != std::string::npos);
+        CHECK(page.find(std::string(it.meaning)) != std::string::npos);
+    }
+    base::MetricsText text;
+    base::LatencyHistogram runs;
+    runs.add(30'000);
+    runs.add(400'000);
+    text.add("appletally_upstream_run_ms", "", runs);
+    CHECK(text.text().find("appletally_upstream_run_ms_bucket{le=\"50\"} 1\n") != std::string::npos);
+    CHECK(text.text().find("appletally_upstream_run_ms_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+    CHECK(text.text().find("appletally_upstream_run_ms_sum 430\n") != std::string::npos);
+}
+
+TEST_CASE("a full pipe on standard output and a SIGHUP stop nothing", "[process][node]")
+{
+    // Whoever collects the logs hangs. A process that waited for it would stop serving, for want of somebody to tell.
+    process_test::Folder folder;
+    process_test::Port callers;
+    process_test::Port inner;
+    process_test::Port announce;
+    process_test::Port operators;
+    process_test::Port control;
+    process_test::writeFile(folder / "n.json",
+        { { "cluster", "t" }, { "key", std::string(64, 'a') }, { "host", "n" }, { "zone", "z" }, { "region", "r" }, { "voters", { control.address() } },
+            { "listen", { { "callers", callers.address() }, { "inner", inner.address() }, { "announce", announce.address() }, { "operators", operators.address() } } } });
+    process_test::Program node("appletally-node", { folder / "n.json" });
+    node.waitLine({ "started" });
+    node.signal(SIGHUP);
+    TestMesh mesh;
+    for (int n = 0; n < 1500; ++n) { // some hundred bytes each, several times what a pipe holds, and nobody reads
+        const auto answer = mesh.askRaw({ "127.0.0.1", callers.number() }, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        REQUIRE(mesh.run([&] { return answer->done; }));
+        REQUIRE(answer->body.find("HTTP/1.1 503") == 0);
+    }
+}
