A leader soon after a start of all; Retry-After of whoever has room first

And a request refused by three upstreams (338, 2,004 and 697 ms) was told the last one's time.

Ruled out: the boot reads themselves (a majority answered at once) and the nodes' back-off.

Change: a replica that has just started waits 150 to 300 ms for a leader instead of 500 to 1,000; the final refusal tells the soonest time.

Test: first candidacy at 525 to 650 ms before, 350 at most now; the time between later ones is unchanged.

--- a/src/appletally/consensus/election.cpp
+++ b/src/appletally/consensus/election.cpp
@@ -26,6 +26,12 @@
     c.replica.electionAt = c.now + base::Duration { least + static_cast<int64_t>(c.random % static_cast<uint64_t>(least)) };
 }
 
+void startElectionClock(Context& c)
+{
+    const int64_t least = c.replica.config.firstElection.ms;
+    c.replica.electionAt = c.now + base::Duration { least + static_cast<int64_t>(c.random % static_cast<uint64_t>(least)) };
+}
+
 void becomeFollower(Context& c, Term term, ReplicaId leader)
 {
     Replica& r = c.replica;
--- a/src/appletally/consensus/replica.cpp
+++ b/src/appletally/consensus/replica.cpp
@@ -200,7 +200,7 @@
     Context c { r, now, random, ready, {} };
     if (!r.started) {
         r.started = true;
-        core::resetElection(c);
+        core::startElectionClock(c);
         if (r.snapshot->data)
             ready.restore = r.snapshot;
     }
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -195,6 +195,17 @@
     forget(it);
 }
 
+// The first reason is the caller's to hear; when to come back, whoever has room first says.
+void Ingress::noteRefusal(Active& it, const base::Error& error)
+{
+    if (!base::info(error.code).notRun)
+        return;
+    if (!it.refusal)
+        it.refusal = error;
+    else if (error.retryAfter.ms > 0 && (it.refusal->retryAfter.ms == 0 || error.retryAfter < it.refusal->retryAfter))
+        it.refusal->retryAfter = error.retryAfter;
+}
+
 void Ingress::onFailedTry(Active& it, const base::Error& error)
 {
     event_del(it.hedgeTimer);
@@ -208,8 +219,7 @@
     // That nobody else is left says less than what the first one refused it for, and when to come back.
     if (error.code == Code::NoUpstream && it.refusal)
         return giveUp(it, { policy::finalCode(it.mayHaveRun, it.refusal->code), it.refusal->text, it.refusal->retryAfter });
-    if (base::info(error.code).notRun && !it.refusal)
-        it.refusal = error;
+    noteRefusal(it, error);
     policy::FailedTry failed;
     failed.idempotent = it.route->idempotent;
     failed.code = error.code;
@@ -221,6 +231,8 @@
     if (!decision.retry) {
         base::Error last = error;
         last.code = policy::finalCode(it.mayHaveRun, decision.code);
+        if (it.refusal)
+            last.retryAfter = it.refusal->retryAfter;
         return giveUp(it, last);
     }
     ++m_counts.retried;
--- a/tests/formation_test.cpp
+++ b/tests/formation_test.cpp
@@ -3,6 +3,7 @@
 #include "appletally/base/metrics_text.h"
 #include "appletally/config/generate.h"
 #include "appletally/config/route_match.h"
+#include "appletally/consensus/replica.h"
 #include "appletally/control/formation.h"
 #include "appletally/policy/split.h"
 #include "node_fixture.h"
@@ -53,6 +54,35 @@
     CHECK(again.id.value == 9);
 }
 
+TEST_CASE("voters that all start again ask for a leader at once, and one that lost its leader later takes its time", "[formation][consensus]")
+{
+    // All of control loses power for a second. Nodes that start again may have no version before a leader has said which is
+    // released, so each tenth of a second until one stands is a tenth in which nobody is served.
+    consensus::Durable disk;
+    disk.id = { 1 };
+    for (const uint64_t id : { 1, 2, 3 })
+        disk.snapshot.meta.members.list.push_back({ { id }, { "v" + std::to_string(id) }, consensus::Role::Voter, {} });
+    for (const uint64_t luck : { uint64_t { 0 }, UINT64_MAX }) {
+        consensus::Replica replica = consensus::make(disk, {});
+        base::Time now { 1000 };
+        bool asks = false;
+        while (!asks && now.ms < 3000) {
+            const consensus::Ready ready = consensus::step(replica, consensus::Tick {}, now, luck);
+            asks = !ready.messages.empty();
+            now = now + base::Duration { 25 };
+        }
+        CHECK(now.ms - 1000 <= 350);
+        CHECK(now.ms - 1000 >= 150);
+        const base::Time before = now;
+        consensus::Ready none;
+        do { // nobody answers: it asks again, no sooner than an election takes
+            none = consensus::step(replica, consensus::Tick {}, now, luck);
+            now = now + base::Duration { 25 };
+        } while (none.messages.empty() && now.ms < 9000);
+        CHECK(now - before >= base::Duration { 450 });
+    }
+}
+
 TEST_CASE("a damaged folder is set aside and its replica starts anew", "[formation]")
 {
     process_test::Folder folder;
