--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -28,6 +28,7 @@
     { Event::ReplicaAdded, "replica-added", "a replica was let in as a voter", "none", 0 },
     { Event::ReplicaRemoved, "replica-removed", "a replica was taken out", "none", 0 },
     { Event::SnapshotTaken, "snapshot-taken", "the log was shortened to a snapshot", "none", 0 },
+    { Event::DiskOpenedAgain, "disk-opened-again", "a failed data folder could be read again, and its replica begins with what is there", "none", 0 },
     { Event::UpstreamAnnounced, "upstream-announced", "an upstream announced itself", "none", 0 },
     { Event::UpstreamLeft, "upstream-left", "an upstream drained or its announcement ran out", "none", 0 },
     { Event::LinkUp, "link-up", "a link to another process works", "none", 0 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -34,6 +34,7 @@
     ReplicaAdded = 306,
     ReplicaRemoved = 307,
     SnapshotTaken = 308,
+    DiskOpenedAgain = 309,
 
     // 4xx: endpoints and links
     UpstreamAnnounced = 401,
--- a/src/appletally/consensus/disk_log.cpp
+++ b/src/appletally/consensus/disk_log.cpp
@@ -244,6 +244,12 @@
     return result;
 }
 
+Result<void> writeAnew(DiskLog& log)
+{
+    BOOST_OUTCOME_TRYV(replaceFile(log.calls, log.folder, "snapshot", snapshotBytes(log.snapshot)));
+    return rewriteLog(log, {});
+}
+
 void closeFolder(DiskLog& log)
 {
     if (log.logFile >= 0)
--- a/src/appletally/consensus/disk_log.h
+++ b/src/appletally/consensus/disk_log.h
@@ -43,6 +43,10 @@
 // failed sync is unknown, so a later sync that succeeds would prove nothing.
 base::Result<void> write(DiskLog&, const Persist&);
 
+// Writes all of it anew and syncs. After a failed sync nobody knows which of the bytes that can be read are on the disk; a
+// replica that goes on with such a folder has to do this first.
+base::Result<void> writeAnew(DiskLog&);
+
 void closeFolder(DiskLog&);
 
 } // namespace appletally::consensus
--- a/src/appletally/control/documents.cpp
+++ b/src/appletally/control/documents.cpp
@@ -78,7 +78,7 @@
     ++m_changesUnderWay;
     auto shared = std::make_shared<const config::Document>(std::move(document));
     auto proposed = m_documentTurn.addBranch().then([this, shared] { return proposeDocument(shared); }).fork();
-    m_documentTurn = proposed.addBranch().ignoreResult().catch_([](kj::Exception&&) { }).fork(); // the next one has its turn whatever became of this one
+    m_documentTurn = proposed.addBranch().ignoreResult().catch_([](kj::Exception&&) {}).fork(); // the next one has its turn whatever became of this one
     return proposed.addBranch()
         .then([this](base::Result<base::ConfigVersion> version) -> kj::Promise<base::Result<void>> {
             if (!version)
@@ -88,7 +88,7 @@
         .attach(kj::defer([this] { --m_changesUnderWay; }));
 }
 
-kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::proposeDocument(std::shared_ptr<const config::Document> document)
+kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::proposeDocument(const std::shared_ptr<const config::Document>& document)
 {
     using Answer = base::Result<base::ConfigVersion>;
     if (!m_leading)
@@ -97,7 +97,7 @@
     if (config::wasAccepted(record, document->id))
         return Answer(m_state.snapshot.version);
     if (document->id.base != record.current.number || document->id.number <= record.current.number)
-        return judgeConflict(std::move(document));
+        return judgeConflict(document);
     const config::SubmitDocument command { document->id, config::changeFrom(record.texts, *document), base::wallNow() };
     return m_replica->propose(config::encode(config::Command { command })).then([this](base::Result<base::LogIndex> index) -> Answer {
         if (!index)
@@ -113,7 +113,7 @@
 
 // A leader that is new may not have applied everything yet. Refused by what it knows then, a document that was accepted
 // would be refused when it is resent; so a majority is asked first.
-kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::judgeConflict(std::shared_ptr<const config::Document> document)
+kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::judgeConflict(const std::shared_ptr<const config::Document>& document)
 {
     using Answer = base::Result<base::ConfigVersion>;
     return m_replica->readIndex().then([this, document](const base::Result<base::LogIndex>& index) -> kj::Promise<Answer> {
--- a/src/appletally/control/duties.cpp
+++ b/src/appletally/control/duties.cpp
@@ -15,6 +15,9 @@
     // as silent its nodes are with another source two seconds after a cut.
     constexpr base::Duration isolatedAfter { 600 };
 
+    // A disk that failed is tried again this often; each try reads the log once.
+    constexpr base::Duration diskPause { 1000 };
+
     // How long a keeper remembers a claim; a change of the set ends no earlier, see policy/keepers.h.
     constexpr base::Duration claimLife = policy::claimLife({});
 
@@ -24,10 +27,12 @@
 {
     return m_timer.afterDelay(dutyEvery.ms * kj::MILLISECONDS).then([this] {
         expireOld();
+        openDiskAgain();
         learnMembers();
         noteIsolation();
         if (m_leading) {
             letInNewVoters();
+            takeOutLostVoters();
             if (m_settings.claims)
                 agreeOnKeepers();
             runRollouts();
@@ -112,6 +117,55 @@
     }
 }
 
+// A full disk has room again after a while, and nobody is there to restart the process. Left stopped, the replica is a loss
+// that nobody sees, and the next one stops the log. What is in memory is thrown away: the replica begins with what its disk
+// has, as after a restart.
+void ControlProcess::openDiskAgain()
+{
+    const base::Time now = base::steadyNow();
+    if (!findsPeers() || !m_replica || !m_replica->stopped() || now - m_diskTriedAt < diskPause)
+        return;
+    m_diskTriedAt = now;
+    m_replica->closeDisk();
+    auto opened = consensus::openFolder(consensus::systemFileCalls(), m_settings.data);
+    if (!opened) {
+        base::logEvent(base::Event::DiskStopped, "still: " + opened.error().text);
+        return;
+    }
+    if (const auto written = consensus::writeAnew(opened.value()); !written) {
+        base::logEvent(base::Event::DiskStopped, "still: " + written.error().text);
+        consensus::closeFolder(opened.value());
+        return;
+    }
+    base::logEvent(base::Event::DiskOpenedAgain, "the replica begins with log index " + std::to_string(opened.value().state.commit.value));
+    m_state = {};
+    m_unreleased.clear();
+    m_outcomes.clear();
+    m_leading = false;
+    m_changingMembers = false;
+    m_ownProposal = false;
+    m_documentTurn = kj::Promise<void>(kj::READY_NOW).fork();
+    makeReplica(std::move(opened.value()));
+}
+
+// Only where hosts come and go by themselves; with a fixed list of voters an operator decides who is lost.
+void ControlProcess::takeOutLostVoters()
+{
+    if (!findsPeers() || m_changingMembers)
+        return;
+    std::set<base::ReplicaId> reached { m_replica->replica().id };
+    for (const auto& it : m_peers) {
+        if (it->up())
+            reached.insert(it->replica());
+    }
+    const auto lost = policy::nextLost(m_lostVoters, consensus::latestMembers(m_replica->replica()), reached, base::steadyNow());
+    if (!lost)
+        return;
+    base::logEvent(base::Event::ReplicaRemoved, "replica " + std::to_string(lost->value) + " was silent for " + std::to_string(policy::lostAfter.ms) + " ms and is taken out");
+    m_changingMembers = true;
+    m_tasks->add(m_replica->removeMember(*lost).then([this](const base::Result<base::LogIndex>&) { m_changingMembers = false; }));
+}
+
 void ControlProcess::agreeOnKeepers()
 {
     const config::KeeperSet& agreed = m_state.snapshot.keepers;
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -75,9 +75,7 @@
     for (const base::Address& it : m_settings.seeds)
         learnPeer({ it.text() });
     m_bootReads = std::make_unique<BootReads>(
-        m_timer, [this] { return voterLinks(); }, [this]() -> std::optional<consensus::BootAnswer> {
-            return m_replica && !m_replica->stopped() ? consensus::bootAnswer(m_replica->replica()) : std::nullopt;
-        });
+        m_timer, [this] { return voterLinks(); }, [this]() -> std::optional<consensus::BootAnswer> { return m_replica && !m_replica->stopped() ? consensus::bootAnswer(m_replica->replica()) : std::nullopt; });
 }
 
 void ControlProcess::linkTo(const ControlPeer& peer)
@@ -144,6 +142,7 @@
     hooks.leads = [this](bool leads) {
         m_leading = leads;
         m_rollouts = {};
+        m_lostVoters = {};
         m_keeperChoice = {};
         m_keeperChange = {};
         base::logEvent(leads ? base::Event::BecameLeader : base::Event::LostLeadership, "term " + std::to_string(m_replica->replica().state.term.value));
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -19,6 +19,7 @@
 #include "appletally/inner/rpc_port.h"
 #include "appletally/inner/source_client.h"
 #include "appletally/policy/keepers.h"
+#include "appletally/policy/lost_voters.h"
 
 namespace appletally::control {
 
@@ -101,8 +102,8 @@
     bool proposeOwn(const config::Command&); // false: another one is under way
 
     // Documents
-    kj::Promise<base::Result<base::ConfigVersion>> proposeDocument(std::shared_ptr<const config::Document>);
-    kj::Promise<base::Result<base::ConfigVersion>> judgeConflict(std::shared_ptr<const config::Document>);
+    kj::Promise<base::Result<base::ConfigVersion>> proposeDocument(const std::shared_ptr<const config::Document>&);
+    kj::Promise<base::Result<base::ConfigVersion>> judgeConflict(const std::shared_ptr<const config::Document>&);
     kj::Promise<void> inForceEverywhere(base::ConfigVersion);
     void wakeInForceWaiters();
     base::UpstreamVersion versionWithTraffic(const base::ServiceName&, const base::UpstreamVersion& besides) const;
@@ -114,6 +115,8 @@
     bool reachesMajority() const;
     void expireOld();
     void letInNewVoters();
+    void takeOutLostVoters();
+    void openDiskAgain(); // after it failed
     void agreeOnKeepers();
     void finishKeeperChange();
     void runRollouts();
@@ -139,12 +142,14 @@
     size_t m_changesUnderWay = 0; // operators' changes that wait for their answer
     bool m_ownProposal = false; // one of control's own proposals is under way
     bool m_changingMembers = false;
+    base::Time m_diskTriedAt; // when it was last opened again
 
     // The leader's duties; meaningless on others.
     KeeperChoice m_keeperChoice;
     policy::SetChange m_keeperChange; // of the set that is changing
     base::ConfigVersion m_keeperChangeIn; // a version that has it
     RolloutRunner m_rollouts;
+    policy::LostVoters m_lostVoters;
 
     // Not agreed.
     base::Time m_enoughPeersAt = base::steadyNow(); // when more than half of the control processes were last linked
--- a/src/appletally/control/replica_driver.cpp
+++ b/src/appletally/control/replica_driver.cpp
@@ -89,6 +89,12 @@
     return ask(id, consensus::AddMember { id, member });
 }
 
+kj::Promise<base::Result<base::LogIndex>> ReplicaDriver::removeMember(base::ReplicaId replica)
+{
+    const uint64_t id = m_nextId++;
+    return ask(id, consensus::RemoveMember { id, replica });
+}
+
 // --- Steps ---
 
 void ReplicaDriver::drive(consensus::Input input)
--- a/src/appletally/control/replica_driver.h
+++ b/src/appletally/control/replica_driver.h
@@ -39,9 +39,11 @@
     kj::Promise<base::Result<base::LogIndex>> propose(std::string data);
     kj::Promise<base::Result<base::LogIndex>> readIndex(); // resolves once everything accepted before is applied here
     kj::Promise<base::Result<base::LogIndex>> addMember(const consensus::Member&);
+    kj::Promise<base::Result<base::LogIndex>> removeMember(base::ReplicaId);
 
     const consensus::Replica& replica() const { return m_replica; }
     bool stopped() const { return m_failure.has_value(); }
+    void closeDisk() { consensus::closeFolder(m_disk); } // of a stopped one, so that it can be opened again
     nlohmann::json toJson() const;
 
 private:
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -75,7 +75,6 @@
     }
 }
 
-
 void Owner::run(Running& it)
 {
     if (!m_upstream)
--- a/tests/disk_log_test.cpp
+++ b/tests/disk_log_test.cpp
@@ -264,6 +264,27 @@
     CHECK(write(log, entryWrite(4, 1, "more")).error().code == base::Code::DiskFailed);
 }
 
+TEST_CASE("a folder that goes on after a failed sync is written anew, and then a crash takes nothing back", "[consensus][disk]")
+{
+    // The disk refuses a sync and is well again a second later. What can be read may never have reached it; a voter that
+    // promised it to the others would lose it with the next loss of power.
+    for (const bool anew : { false, true }) {
+        FakeDisk disk = filled();
+        DiskLog log = opened(disk);
+        disk.syncError = -EIO;
+        REQUIRE_FALSE(write(log, entryWrite(4, 1, "more")));
+        closeFolder(log);
+        disk.syncError = 0;
+
+        DiskLog again = opened(disk);
+        REQUIRE(again.entries.size() == 4);
+        if (anew)
+            REQUIRE(writeAnew(again));
+        disk.crash();
+        CHECK(opened(disk).entries.size() == (anew ? 4 : 3));
+    }
+}
+
 TEST_CASE("a crash at any file call leaves the old state or the new one", "[consensus][disk]")
 {
     // The process dies, and the machine with it, somewhere inside a format, a write or the taking of a snapshot.
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -166,7 +166,7 @@
     edge.node->node->stop([&] { stopped = true; });
     evutil_make_socket_nonblocking(fd);
     event* awake = event_new(
-        edge.mesh.loop(), -1, EV_PERSIST, [](evutil_socket_t, short, void*) { }, nullptr);
+        edge.mesh.loop(), -1, EV_PERSIST, [](evutil_socket_t, short, void*) {}, nullptr);
     const timeval often { 0, 1000 };
     event_add(awake, &often);
     size_t got = 0;
--- a/tests/formation_test.cpp
+++ b/tests/formation_test.cpp
@@ -5,6 +5,7 @@
 #include "appletally/config/route_match.h"
 #include "appletally/consensus/replica.h"
 #include "appletally/control/formation.h"
+#include "appletally/policy/lost_voters.h"
 #include "appletally/policy/split.h"
 #include "node_fixture.h"
 #include "process_fixture.h"
@@ -83,6 +84,30 @@
     }
 }
 
+TEST_CASE("a control host that is gone for good is taken out once another has taken its place", "[formation]")
+{
+    // A host is replaced by an empty one at another address, and later a second one fails. With the dead one still counted,
+    // the two that live are no majority of four, and no change is accepted any more.
+    const auto membersOf = [](std::vector<uint64_t> ids) {
+        consensus::Members out;
+        for (const uint64_t id : ids)
+            out.list.push_back({ { id }, { "v" + std::to_string(id) }, consensus::Role::Voter, {} });
+        return out;
+    };
+    policy::LostVoters lost;
+    const consensus::Members three = membersOf({ 1, 2, 3 });
+    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, { 0 }));
+    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, { 60'000 })); // nobody has come for it
+    const consensus::Members four = membersOf({ 1, 2, 3, 4 });
+    CHECK(policy::nextLost(lost, four, { { 1 }, { 2 }, { 4 } }, { 61'000 }) == base::ReplicaId { 3 });
+
+    policy::LostVoters back;
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 0 }));
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 3 }, { 4 } }, { 7000 })); // a restart, a freeze
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 9000 }));
+    CHECK(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 17'001 }) == base::ReplicaId { 3 });
+}
+
 TEST_CASE("a damaged folder is set aside and its replica starts anew", "[formation]")
 {
     process_test::Folder folder;
