--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -1,5 +1,6 @@
 // Canonical JSON of snapshots and their parts; hashing and compression. Endpoints and evidence: codec_records.cpp.
 #include "appletally/config/codec.h"
+#include "appletally/config/json_names.h"
 
 #include <xxhash.h>
 #include <zstd.h>
@@ -16,24 +17,6 @@
     const std::vector<std::string> weighings = { "speed-and-take-back", "completion-and-bytes" };
     constexpr int64_t mostInt = INT32_MAX;
 
-    template <typename T>
-    Json namesToJson(const std::vector<T>& names)
-    {
-        Json out = Json::array();
-        for (const T& it : names)
-            out.push_back(it.text);
-        return out;
-    }
-
-    template <typename T>
-    std::vector<T> readNames(JsonReader& it, const std::string& key)
-    {
-        std::vector<T> out;
-        for (std::string& text : it.texts(key))
-            out.push_back(T { std::move(text) });
-        return out;
-    }
-
     base::PerMille readPerMille(JsonReader& it, const std::string& key) { return { static_cast<int32_t>(it.integer(key, 0, 1000)) }; }
 
     base::Duration readDuration(JsonReader& it, const std::string& key) { return { it.integer(key, 0, INT64_MAX) }; }
--- a/src/appletally/config/delta.cpp
+++ b/src/appletally/config/delta.cpp
@@ -2,6 +2,7 @@
 #include "appletally/config/delta.h"
 
 #include "appletally/config/codec.h"
+#include "appletally/config/json_names.h"
 
 namespace appletally::config {
 
@@ -43,15 +44,6 @@
         return out;
     }
 
-    template <typename T>
-    Json namesToJson(const std::vector<T>& names)
-    {
-        Json out = Json::array();
-        for (const T& it : names)
-            out.push_back(it.text);
-        return out;
-    }
-
     template <typename T>
     std::vector<T> readList(JsonReader& top, const std::string& key, T (*read)(JsonReader))
     {
@@ -61,15 +53,6 @@
         return out;
     }
 
-    template <typename T>
-    std::vector<T> readNames(JsonReader& top, const std::string& key)
-    {
-        std::vector<T> out;
-        for (std::string& text : top.texts(key))
-            out.push_back(T { std::move(text) });
-        return out;
-    }
-
     void putUnlessEmpty(Json& json, const char* key, Json list)
     {
         if (!list.empty())
--- a/src/appletally/config/document.cpp
+++ b/src/appletally/config/document.cpp
@@ -2,6 +2,7 @@
 #include "appletally/config/document.h"
 
 #include "appletally/config/codec.h"
+#include "appletally/config/json_names.h"
 
 #include <algorithm>
 
@@ -48,24 +49,6 @@
         return out;
     }
 
-    template <typename Name>
-    Json namesToJson(const std::vector<Name>& names)
-    {
-        Json out = Json::array();
-        for (const Name& it : names)
-            out.push_back(it.text);
-        return out;
-    }
-
-    template <typename Name>
-    std::vector<Name> readNames(JsonReader& top, const std::string& key)
-    {
-        std::vector<Name> out;
-        for (std::string& text : top.texts(key))
-            out.push_back(Name { std::move(text) });
-        return out;
-    }
-
 } // namespace
 
 DocumentChange changeFrom(const DocumentTexts& before, const Document& document)
--- /dev/null
+++ b/src/appletally/config/json_names.h
@@ -0,0 +1,29 @@
+// Lists of names to JSON and back, as the codecs of this folder need them. Not for others.
+#pragma once
+
+#include "appletally/base/json_reader.h"
+
+#include <string>
+#include <vector>
+
+namespace appletally::config {
+
+template <typename T>
+base::Json namesToJson(const std::vector<T>& names)
+{
+    base::Json out = base::Json::array();
+    for (const T& it : names)
+        out.push_back(it.text);
+    return out;
+}
+
+template <typename T>
+std::vector<T> readNames(base::JsonReader& it, const std::string& key)
+{
+    std::vector<T> out;
+    for (std::string& text : it.texts(key))
+        out.push_back(T { std::move(text) });
+    return out;
+}
+
+} // namespace appletally::config
--- a/src/appletally/control/documents.cpp
+++ b/src/appletally/control/documents.cpp
@@ -4,7 +4,6 @@
 // log. Whoever does not lead says so, and the port sends the operator to the leader; a second way through a process that
 // may have lost the leader would only be one more place where an answer can get lost.
 #include "appletally/base/log.h"
-#include "appletally/base/metrics_text.h"
 #include "appletally/control/process.h"
 
 #include <algorithm>
@@ -32,33 +31,6 @@
     return leader ? leader->host : base::HostId {};
 }
 
-std::string ControlProcess::metrics() const
-{
-    base::MetricsText out;
-    const auto add = [&](const char* name, const char* label, uint64_t n) { out.add(name, label, static_cast<double>(n)); };
-    const base::ConfigVersion version = m_state.snapshot.version;
-    add("appletally_config_version", "", version.value);
-    add("appletally_log_leads", "", leads() ? 1 : 0);
-    if (m_replica) {
-        const consensus::Replica& replica = m_replica->replica();
-        const auto& members = consensus::latestMembers(replica).list;
-        const auto voters = std::count_if(members.begin(), members.end(), [](const consensus::Member& it) { return it.role == consensus::Role::Voter; });
-        add("appletally_log_members", "role=\"voter\"", static_cast<uint64_t>(voters));
-        add("appletally_log_members", "role=\"other\"", members.size() - static_cast<size_t>(voters));
-        add("appletally_log_index", "what=\"applied\"", replica.applied.value);
-        add("appletally_log_index", "what=\"committed\"", replica.commit.value);
-        add("appletally_log_index", "what=\"released\"", replica.released.value);
-    }
-    add("appletally_control_links", "", static_cast<uint64_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it->up(); })));
-    const size_t current = inForce(m_convergence, version);
-    add("appletally_nodes", "newest=\"yes\"", current);
-    add("appletally_nodes", "newest=\"no\"", m_convergence.nodes.size() - current);
-    add("appletally_known_upstreams", "state=\"any\"", m_endpoints.entries.size());
-    add("appletally_rollouts", "state=\"running\"", m_state.snapshot.rollouts.size());
-    add("appletally_rollouts", "state=\"ended\"", m_state.ended.size());
-    return out.text();
-}
-
 kj::Promise<base::Result<const config::State*>> ControlProcess::agreed()
 {
     using Answer = base::Result<const config::State*>;
@@ -99,7 +71,14 @@
     if (document->id.base != record.current.number || document->id.number <= record.current.number)
         return judgeConflict(document);
     const config::SubmitDocument command { document->id, config::changeFrom(record.texts, *document), base::wallNow() };
-    return m_replica->propose(config::encode(config::Command { command })).then([this](base::Result<base::LogIndex> index) -> Answer {
+    return proposeForVersion(command);
+}
+
+// The version that the command made, or in force where it changed nothing.
+kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::proposeForVersion(const config::Command& command)
+{
+    using Answer = base::Result<base::ConfigVersion>;
+    return m_replica->propose(config::encode(command)).then([this](base::Result<base::LogIndex> index) -> Answer {
         if (!index)
             return index.error();
         const auto outcome = m_outcomes.find(index.value());
@@ -176,15 +155,10 @@
     if (command.from.empty())
         return Answer(base::fail(base::Code::NotReady, "no upstream of " + command.service.text + " with another version is known yet"));
     ++m_changesUnderWay;
-    return m_replica->propose(config::encode(config::Command { command }))
-        .then([this](base::Result<base::LogIndex> index) -> Answer {
-            if (!index)
-                return index.error();
-            const auto outcome = m_outcomes.find(index.value());
-            if (outcome == m_outcomes.end())
-                return base::fail(base::Code::OutcomePending, "committed, but its outcome is not at hand; resend");
-            if (outcome->second.code != base::Code::Ok)
-                return errorOf(outcome->second);
+    return proposeForVersion(command)
+        .then([](const base::Result<base::ConfigVersion>& version) -> Answer {
+            if (!version)
+                return version.error();
             return base::success();
         })
         .attach(kj::defer([this] { --m_changesUnderWay; }));
--- /dev/null
+++ b/src/appletally/control/metrics.cpp
@@ -0,0 +1,36 @@
+// What a control process shows of itself in Prometheus' text format.
+#include "appletally/base/metrics_text.h"
+#include "appletally/control/process.h"
+
+#include <algorithm>
+
+namespace appletally::control {
+
+std::string ControlProcess::metrics() const
+{
+    base::MetricsText out;
+    const auto add = [&](const char* name, const char* label, uint64_t n) { out.add(name, label, static_cast<double>(n)); };
+    const base::ConfigVersion version = m_state.snapshot.version;
+    add("appletally_config_version", "", version.value);
+    add("appletally_log_leads", "", leads() ? 1 : 0);
+    if (m_replica) {
+        const consensus::Replica& replica = m_replica->replica();
+        const auto& members = consensus::latestMembers(replica).list;
+        const auto voters = std::count_if(members.begin(), members.end(), [](const consensus::Member& it) { return it.role == consensus::Role::Voter; });
+        add("appletally_log_members", "role=\"voter\"", static_cast<uint64_t>(voters));
+        add("appletally_log_members", "role=\"other\"", members.size() - static_cast<size_t>(voters));
+        add("appletally_log_index", "what=\"applied\"", replica.applied.value);
+        add("appletally_log_index", "what=\"committed\"", replica.commit.value);
+        add("appletally_log_index", "what=\"released\"", replica.released.value);
+    }
+    add("appletally_control_links", "", static_cast<uint64_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it->up(); })));
+    const size_t current = inForce(m_convergence, version);
+    add("appletally_nodes", "newest=\"yes\"", current);
+    add("appletally_nodes", "newest=\"no\"", m_convergence.nodes.size() - current);
+    add("appletally_known_upstreams", "state=\"any\"", m_endpoints.entries.size());
+    add("appletally_rollouts", "state=\"running\"", m_state.snapshot.rollouts.size());
+    add("appletally_rollouts", "state=\"ended\"", m_state.ended.size());
+    return out.text();
+}
+
+} // namespace appletally::control
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -102,6 +102,7 @@
     bool proposeOwn(const config::Command&); // false: another one is under way
 
     // Documents
+    kj::Promise<base::Result<base::ConfigVersion>> proposeForVersion(const config::Command&);
     kj::Promise<base::Result<base::ConfigVersion>> proposeDocument(const std::shared_ptr<const config::Document>&);
     kj::Promise<base::Result<base::ConfigVersion>> judgeConflict(const std::shared_ptr<const config::Document>&);
     kj::Promise<void> inForceEverywhere(base::ConfigVersion);
