--- a/tests/formation_test.cpp
+++ b/tests/formation_test.cpp
@@ -88,7 +88,7 @@
 {
     // A host is replaced by an empty one at another address, and later a second one fails. With the dead one still counted,
     // the two that live are no majority of four, and no change is accepted any more.
-    const auto membersOf = [](std::vector<uint64_t> ids) {
+    const auto membersOf = [](const std::vector<uint64_t>& ids) {
         consensus::Members out;
         for (const uint64_t id : ids)
             out.list.push_back({ { id }, { "v" + std::to_string(id) }, consensus::Role::Voter, {} });
