--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -89,6 +89,18 @@
     CHECK(platform::isNews(known, beat("next", 400, 1)));
 }
 
+TEST_CASE("a goodbye that a restarted node hears first is remembered", "[platform]")
+{
+    // The node beside a catalogue server restarts; the server says that it leaves, and a report that it sent before comes
+    // seconds late. Believed, drivers' requests go to a server that may be gone at any moment.
+    for (const uint64_t born : { 100, 0 }) {
+        std::optional<platform::Backend> known;
+        CHECK_FALSE(platform::isGoodbye(known, "i-1", born)); // nothing stands there yet that could be drained
+        CHECK_FALSE(platform::isNews(known, beat("i-1", 100, 7)));
+        CHECK(platform::isNews(known, beat("i-2", 200, 1)));
+    }
+}
+
 TEST_CASE("a configuration is read into routes, services and limits", "[platform]")
 {
     const auto document = platform::readDocument(configuration(7).dump(), 5);
