appletallyctl explain: one request's story out of log files, with its gaps named

Cause: the page for the one on call sorted lines by time, and lines of two hosts whose clocks differ cross; a line that is missing looked like a request that was never sent there.

Change: explain ID LOG... orders by what sent what, and says of each missing line why, as far as the logs tell: no log of that host, left out for the budget, killed. It needs no settings. At an upstream's node a cancelled call has a line of its own now (525).

Ruled out: ordering by time with a correction for clocks; the steps of a request are milliseconds, the clocks differ by seconds and step.

Not measured yet: the cost of logs in processor time.

--- a/programs/appletallyctl.cpp
+++ b/programs/appletallyctl.cpp
@@ -28,6 +28,11 @@
         TCLAP::UnlabeledValueArg<std::string> file("settings", "JSON settings file; see docs/OPERATING.md", true, "", "SETTINGS.json", line);
         TCLAP::UnlabeledMultiArg<std::string> words("command", "command and its arguments", false, "COMMAND", line);
         line.parse(argc, argv);
+        if (file.getValue() == "explain") { // reads files only, so it works where no control process can be reached
+            std::vector<std::string> all = words.getValue();
+            all.insert(all.begin(), file.getValue());
+            return finish(ctl::explain(all, json.getValue()));
+        }
         const auto settings = ctl::readCtlSettings(file.getValue());
         if (!settings)
             return finish(settings.error());
--- a/src/appletally/appletally.h
+++ b/src/appletally/appletally.h
@@ -27,6 +27,7 @@
 #include "appletally/consensus/replica.h"
 #include "appletally/control/run.h"
 #include "appletally/ctl/commands.h"
+#include "appletally/ctl/explain.h"
 #include "appletally/node/node.h"
 #include "appletally/policy/admission.h"
 #include "appletally/policy/claim_round.h"
@@ -103,6 +104,7 @@
 using control::readControlSettings;
 using ctl::CommandLine;
 using ctl::CtlSettings;
+using ctl::explain; // one request's story out of log files
 using ctl::readCtlSettings;
 using ctl::runCommand; // one command of appletallyctl
 using node::NodeSettings;
--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -49,6 +49,7 @@
     { Event::CallRefused, "call-refused", "at the upstream's node: the call does not run, and why", "see OPERATIONS, refused under load", 1 },
     { Event::CallEnded, "call-ended", "at the upstream's node: the upstream answered whole", "none", 0 },
     { Event::CallFailed, "call-failed", "at the upstream's node: the call may have run and has no whole answer", "see OPERATIONS, outcome unknown", 1 },
+    { Event::CallCancelled, "call-cancelled", "at the upstream's node: the caller or its node gave up on the call, waiting or running", "none", 0 },
     { Event::RolloutStarted, "rollout-started", "a new upstream version gets its trial share", "none", 0 },
     { Event::RolloutShareRaised, "rollout-share-raised", "the new version's share rose", "none", 0 },
     { Event::RolloutCompleted, "rollout-completed", "the new version has all traffic", "none", 0 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -59,6 +59,7 @@
     CallRefused = 522,
     CallEnded = 523,
     CallFailed = 524,
+    CallCancelled = 525,
 
     // 6xx: rollouts
     RolloutStarted = 601,
--- a/src/appletally/ctl/commands.cpp
+++ b/src/appletally/ctl/commands.cpp
@@ -169,6 +169,7 @@
            "  rollout stop ROLLOUT                   give the old version all traffic again\n"
            "  rollouts | versions | status           what runs and what happened\n"
            "  dump ADDRESS                           the state of any process, as JSON\n"
+           "  explain ID LOG...                      one request's story out of log files; needs no settings: appletallyctl explain ...\n"
            "  replace-voter OLD NEW                  a voter that lost its disk, by replica numbers";
 }
 
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -106,6 +106,7 @@
     void finish(Running&, std::optional<base::Error>);
     void logQueued(const Running&) const;
     void logEnd(const Running&, const std::optional<base::Error>&) const;
+    void logCancelled(const Running&) const;
     void record(const Running&, policy::RunEnd);
     policy::LocalVerdict* verdict(); // on the upstream's version; none without an upstream
     void loseUpstream(const std::string& why);
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -351,6 +351,13 @@
             { "waiting", load.waiting }, { "slots", load.slots }, { "ran_ms", it.ranMicros / 1000 }, { "retry_after_ms", error->retryAfter.ms } });
 }
 
+void Owner::logCancelled(const Running& it) const
+{
+    const bool ran = it.stage == Stage::Running;
+    base::logRequest(base::Event::CallCancelled, it.name,
+        { { "route", it.call.route.text }, { "stage", ran ? "running" : "waiting" }, { "ran_ms", ran ? (base::steadyMicros() - it.startedMicros) / 1000 : 0 }, { "left_ms", (it.call.deadline - base::steadyNow()).ms } });
+}
+
 std::string nameOf(const std::vector<http::HeaderField>& headers, const std::string& idHeader, uint64_t own)
 {
     const std::string* id = idHeader.empty() ? nullptr : http::findHeader(headers, idHeader);
@@ -377,6 +384,7 @@
     if (!it)
         return;
     ++m_counts.cancelled;
+    logCancelled(*it);
     const bool begun = it->stage == Stage::Running || it->stage == Stage::Claiming;
     if (begun && !it->call.idempotent) {
         it->detached = true;
