A stop that cannot wait any longer gives final answers instead of cutting connections

Change: 300 ms before the bound whoever still waits for an upstream gets its final answer, 502 where it may have run and 503 where it has not. What is streaming goes on to the bound.

Test in node_test: the caller has 502 before the node ends; without the change its connection ends without an answer.

Left: what a crowded line holds back for seconds is taken in all the same.

--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -245,6 +245,23 @@
     event_add(it.timer, &wait);
 }
 
+// A stop ends at its bound, whoever still waits. An answer may be stuck behind others on a crowded line for seconds; cut off
+// without a word the caller learns nothing and its connection just ends, told now it knows that the outcome is unknown.
+void Ingress::answerAll()
+{
+    std::vector<uint64_t> open;
+    for (const auto& [id, it] : m_calls)
+        open.push_back(id);
+    for (const uint64_t id : open) {
+        Active* it = find(id);
+        if (!it || it->streaming || !it->exchange)
+            continue;
+        const bool mayHaveRun = it->mayHaveRun || !it->underWay.empty();
+        cancelAll(*it);
+        giveUp(*it, mayHaveRun ? base::fail(Code::OutcomeUnknown, "this node ends before the answer is here") : base::fail(Code::Draining, "this node ends"));
+    }
+}
+
 void Ingress::giveUp(Active& it, const base::Error& error)
 {
     // What was refused for all is refused for those who share the run; after anything else each makes a run of its own.
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -5,6 +5,7 @@
 #include "appletally/base/loop_time.h"
 #include "appletally/config/codec.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace appletally::node {
@@ -19,6 +20,9 @@
 // after the other had none left for a second; other nodes hear of it within a tenth of this.
 constexpr Duration ownerDrainsBefore { 500 };
 
+// Before the end of a stop that does not wait any longer: time for the last answers to reach their callers.
+constexpr Duration lastAnswersBefore { 300 };
+
 static base::Incarnation freshIncarnation()
 {
     // Later starts are higher; the low bits tell two starts within one millisecond apart.
@@ -151,6 +155,10 @@
         m_acceptingStopped = true;
         m_ingress.stop();
     }
+    if (!m_lastAnswersGiven && stopping >= m_settings.stopBound - std::min(lastAnswersBefore, m_settings.stopBound / 4)) {
+        m_lastAnswersGiven = true;
+        m_ingress.answerAll();
+    }
     const bool done = m_acceptingStopped && m_ingress.idle() && m_owner.idle() && m_claims.idle();
     if (!done && stopping < m_settings.stopBound)
         return;
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -78,6 +78,7 @@
     std::function<void()> m_stopped; // set: stopping
     base::Time m_stopAt;
     bool m_acceptingStopped = false;
+    bool m_lastAnswersGiven = false;
     bool m_ownerDraining = false;
 };
 
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -163,3 +163,25 @@
     CHECK(answer->status == 200);
     CHECK(answer->body == "t");
 }
+
+TEST_CASE("a stop that cannot wait any longer gives those who wait a final answer", "[node]")
+{
+    // A host is rebooted while its node's callers wait for answers that are stuck on a crowded line. The platform kills the
+    // node after some seconds; a crew whose connection just ends does not know what became of its request.
+    TestMesh mesh;
+    TestUpstream upstream(mesh.loop());
+    TestNode& owner = mesh.addNode("a", "z1");
+    mesh.stopBound = { 400 };
+    TestNode& stopping = mesh.addNode("b", "z2");
+    mesh.announce(owner, upstream, "ready");
+    mesh.applyEverywhere("examples/berthgrid.json");
+    upstream.hold = true;
+    const auto answer = mesh.ask(stopping, "GET", "/berths/7");
+    REQUIRE(mesh.run([&] { return upstream.held.size() == 1; }));
+    bool stopped = false;
+    stopping.node->stop([&] { stopped = true; });
+    REQUIRE(mesh.run([&] { return answer->done && stopped; }));
+    CHECK(answer->status == 502);
+    CHECK(answer->headers["appletally-result"] == "501");
+    CHECK(answer->headers["appletally-not-run"] != "1");
+}
