Upstreams are chosen by their speed, and a warm one has its share at once

Cause: upstreams of a service differ in speed (0.5 to 1.5 in both deployments), and routing took all for equals that are not more than twice as slow as usual. The slow ones were as full as the others; their runs alone take most of a request's aim. Callers' nodes also held back each upstream that joined for ten seconds, whatever its own node said of its warmth.

Change: a moving mean of runs per upstream against the service's, with a dead band of 0.7 to 1.4, fading when unseen; a queue counts five times its wait, so that free slots go first; one pick in 64 takes any. Answers carry the run's time already.

--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -37,6 +37,27 @@
     constexpr double fullShare = 0.8;
     constexpr double levelling = 0.05; // of a run, for full slots: decides only between equals
 
+    // Weight of one run in an upstream's speed. At a spread of 0.3, as both deployments' runs have, a mean of so many runs is
+    // good to 3 in 100, and of runs that vary by their own mean to 10 in 100; an upstream differs by 50 in 100.
+    constexpr double speedWeight = 0.02;
+    constexpr double leastSpeed = 0.2; // what one lucky run may say at most, either way
+    constexpr double mostSpeed = 5;
+
+    // Between these an upstream is as quick as the others, for all that is known: twice the error of a mean on either side.
+    // Without it chance alone sent one call in three of a calm zone elsewhere.
+    constexpr double quickerThan = 0.7;
+    constexpr double slowerThan = 1.4;
+
+    // Unseen for this long, an upstream's speed counts half as much: a cold one is slow for seconds and then like the others.
+    constexpr double speedHalfLife = 2000; // milliseconds
+
+    // A queue counts this much more than its own wait. By the wait alone a quick upstream's full queue is still sooner than a
+    // slow one's free slot; everybody takes it, the slow slots idle, and owners turn away who would have been in time there.
+    constexpr double crowding = 5;
+
+    // One pick in so many takes any upstream: one that was slow and is well again, or has just joined, is seen by its answers.
+    constexpr uint64_t picksPerTrial = 64;
+
     constexpr double leastTime = 1; // milliseconds to an answer that count at least; a clock in milliseconds sees no less
 
     bool newer(const config::Endpoint& a, const config::Endpoint& b)
@@ -129,11 +150,14 @@
         return std::exp2(-static_cast<double>((now - since).ms) / halfLife);
     }
 
+    // The owner knows when its upstream began and how long it says that it is cold; who has heard nothing of the owner yet
+    // goes by when it saw the upstream first.
     double warmth(const Target& target, base::Time now)
     {
+        const bool heard = target.load.slots > 0;
         const double seen = static_cast<double>((now - target.readySince).ms) / static_cast<double>(slowStart.ms);
         const double told = static_cast<double>(target.load.warm.value) / wholeShare;
-        return std::clamp(std::min(seen, told), leastWarm, 1.0);
+        return std::clamp(heard ? told : seen, leastWarm, 1.0);
     }
 
     // What is known of its pace fades towards the usual one.
@@ -142,6 +166,12 @@
         return 1 + (target.pace - 1) * fading(target.paceAt, paceHalfLife, now);
     }
 
+    double speedNow(const Target& target, base::Time now)
+    {
+        const double speed = 1 + (target.speed - 1) * fading(target.paceAt, speedHalfLife, now);
+        return speed > quickerThan && speed < slowerThan ? 1 : speed;
+    }
+
     // Milliseconds until an answer is expected from there.
     double expectedAnswer(const Router& it, const Target& target, const base::RouteName& route, base::Time now)
     {
@@ -151,11 +181,12 @@
         const double slots = std::max(1.0, announced * warmth(target, now));
         const double busy = target.inFlight + target.ofOthers * fading(target.loadAt, loadHalfLife, now);
         const double seen = paceNow(target, now);
+        const double speed = it.parts.speeds ? speedNow(target, now) : 1;
         const double pace = seen > usualPace ? seen : 1;
         const double queue = std::max(0.0, busy + 1 - fullShare * slots) / slots + levelling * std::min(busy, slots) / slots;
         const double kilobytes = known == it.routes.end() ? 0 : known->second.kilobytes;
         const double way = target.endpoint.zone == it.zone ? 0 : otherZone + kilobytes * zoneMsPerKilobyte;
-        return pace * usual * (1 + queue) + way;
+        return pace * usual * (speed + queue * (it.parts.speeds ? crowding : 1)) + way;
     }
 
     // Two different ones at random, or the only one.
@@ -170,6 +201,8 @@
 
     Target* choose(const Router& it, const std::vector<Target*>& found, const base::RouteName& route, base::Time now, uint64_t random)
     {
+        if (it.parts.speeds && random % picksPerTrial == 0)
+            return found[(random >> 8) % found.size()];
         std::vector<Target*> near;
         for (Target* target : found)
             if (target->endpoint.zone == it.zone)
@@ -182,6 +215,17 @@
         });
     }
 
+    void observeSpeed(Target& target, RoutePace& route, const Answered& answer)
+    {
+        if (answer.ran.ms <= 0)
+            return;
+        const auto ran = static_cast<double>(answer.ran.ms);
+        if (route.run == 0)
+            route.run = ran;
+        target.speed += (std::clamp(ran / route.run, leastSpeed, mostSpeed) - target.speed) * speedWeight;
+        route.run += (ran - route.run) * routeWeight;
+    }
+
     // Of a cancelled one only the least is known that it would have taken; a hedge that wins cancels the slow one, and
     // without this the slow one would never be seen as slow.
     void observePace(Router& it, Target& target, const Answered& answer, base::Time now)
@@ -200,6 +244,7 @@
         if (!whole)
             return;
         route.mean += (took - route.mean) * routeWeight;
+        observeSpeed(target, route, answer);
         const double kilobytes = static_cast<double>(answer.size.count) / 1024;
         route.kilobytes += (kilobytes - route.kilobytes) * (route.kilobytes == 0 ? 1 : sizeWeight);
     }
@@ -243,7 +288,7 @@
         Target& target = it.targets[endpoint.host];
         const bool fresh = target.endpoint.incarnation != endpoint.incarnation || target.endpoint.host.empty();
         if (fresh) {
-            target = { endpoint, now, target.inFlight, {}, now, 0, 1, now };
+            target = { endpoint, now, target.inFlight, {}, now, 0, 1, now, 1 };
             forgetHost(it.outliers, endpoint.host);
         }
         if (target.endpoint.state != config::EndpointState::Ready || fresh)
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -7,6 +7,9 @@
 // The choice: whose turn it is among the versions, by exact shares; then two upstreams of that version at random in the
 // node's own zone and two anywhere, and of these the one where the answer is expected first. Two at random instead of
 // the best of all, because many nodes with the same old news would all run to the same best one.
+//
+// Upstreams of one service differ in speed, by a factor of three between the slowest and the quickest. Taken for equals, the
+// slow ones get as much as they can hold, and their runs alone take most of the time within which an answer is worth most.
 #pragma once
 
 #include "appletally/config/endpoint.h"
@@ -31,11 +34,13 @@
     int ofOthers = 0; // of that load, what was not this node's own
     double pace = 1; // moving mean of the time to an answer over the usual one of its route; 2: twice as slow
     base::Time paceAt; // of the last answer that went into it
+    double speed = 1; // moving mean of its runs alone over those of the whole service on the same route; 2: takes twice as long
 };
 
 // What is usual on one route, over all upstreams of the service.
 struct RoutePace {
     double mean = 0; // milliseconds to an answer; 0: none yet
+    double run = 0; // milliseconds at the upstream alone; 0: none yet
     double kilobytes = 0; // of an answer, a moving mean
 };
 
@@ -45,8 +50,14 @@
 // the old version and all of the other to the new.
 using Turns = std::map<base::UpstreamVersion, int64_t>; // credits in thousandths; invariant: they add up to 0
 
+// Switches for tests and measurements; a node leaves them as they are.
+struct RoutingParts {
+    bool speeds = true; // false: upstreams that are less than twice as slow as usual count as equal
+};
+
 // A node's view of one service.
 struct Router {
+    RoutingParts parts;
     base::ZoneName zone; // the node's own
     std::map<base::HostId, Target> targets;
     std::map<base::UpstreamVersion, base::PerMille> shares; // empty: any version takes traffic
@@ -83,6 +94,7 @@
     base::Duration took {}; // from sending to the whole answer
     std::optional<Load> load; // as carried; none where nothing came back
     base::Bytes size {}; // of the answer's body
+    base::Duration ran {}; // of `took`, at the upstream alone; zero: not known
 };
 
 // Endpoints that are new or have changed; state Gone removes one. Older (incarnation, sequence) are passed over.
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -10,6 +10,7 @@
 #include "appletally/policy/routing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -39,11 +40,14 @@
     int zone = 0; // of the caller's node
     int callers = 1; // that ask in turn
     Duration tryTimeout {}; // of one try; zero: the whole time
+    double spread = 0; // of the runs' logarithms; 0: runs are exponential
+    Duration aim {}; // within which an answer is worth most; zero: not said
 };
 
 struct Tally { // of one stream
     int offered = 0;
     int inTime = 0;
+    int inAim = 0;
     int late = 0; // gave up at the deadline without an answer
     int refused = 0;
     int failed = 0; // answered with an error
@@ -52,6 +56,7 @@
     std::vector<int64_t> waits; // of those answered in time: sending to answer
     std::vector<int64_t> refusedAfter; // sending to refusal
 
+    double shareInAim() const { return offered ? static_cast<double>(inAim) / offered : 1; }
     double goodput() const { return offered ? static_cast<double>(inTime) / offered : 1; }
 };
 
@@ -122,6 +127,7 @@
         bool isFirst = true;
         bool open = true;
         bool running = false;
+        Duration ran {}; // at the upstream, once it ended
     };
     std::vector<Call> calls;
     std::vector<Try> tries; // RequestId is the index
@@ -226,7 +232,7 @@
         if (!chosen)
             return finish(callId, Outcome::Refused, Duration {});
         const size_t id = tries.size();
-        tries.push_back({ callId, *chosen, now, {}, it.sentTries == 0, true, false });
+        tries.push_back({ callId, *chosen, now, {}, it.sentTries == 0, true, false, {} });
         it.tries.push_back(id);
         it.tried.push_back({ std::to_string(*chosen) });
         ++it.sentTries;
@@ -263,8 +269,9 @@
         const Stream& stream = streams[of.stream];
         const std::string caller = stream.caller + std::to_string(it.call % static_cast<size_t>(stream.callers));
         const Duration expected { std::max<int64_t>(1, std::llround(stream.meanRun)) };
+        const std::optional<Time> fullWorthBy = stream.aim.ms > 0 ? std::optional(of.sent + stream.aim) : std::nullopt;
         const Decision decision
-            = offer(up.admission, { { id }, { caller }, { stream.route }, stream.priority, expected, of.deadline, stream.internal }, now);
+            = offer(up.admission, { { id }, { caller }, { stream.route }, stream.priority, expected, of.deadline, stream.internal, fullWorthBy }, now);
         if (decision.verdict == Verdict::Run)
             begin(id);
         if (decision.verdict == Verdict::Refuse)
@@ -310,7 +317,9 @@
         double mean = fails ? 1 : stream.meanRun * up.slowdown(up.running, now);
         if (up.hiccups > 0 && std::bernoulli_distribution(up.hiccups)(random))
             mean *= 50;
-        const auto ran = static_cast<int64_t>(std::ceil(std::exponential_distribution<>(1 / mean)(random)));
+        const double run = stream.spread > 0 ? std::lognormal_distribution<>(std::log(mean) - stream.spread * stream.spread / 2, stream.spread)(random)
+                                             : std::exponential_distribution<>(1 / mean)(random);
+        const auto ran = static_cast<int64_t>(std::ceil(run));
         at(now + Duration { ran }, [this, id, fails] { end(id, fails); });
     }
 
@@ -323,6 +332,7 @@
         it.running = false;
         --up.running;
         const Duration ran = now - it.started;
+        it.ran = ran;
         if (queueing == Queueing::Admission)
             follow(finished(up.admission, { id }, fails ? RunEnd::Failed : RunEnd::Good, ran, now));
         else
@@ -358,7 +368,7 @@
         std::optional<Load> carried;
         if (queueing == Queueing::Admission && kind != AnswerKind::Silent)
             carried = load(upstreams[it.upstream].admission, now);
-        answered(routers[stream.zone], { { std::to_string(it.upstream) }, { stream.route }, kind, now - it.sent, carried }, now);
+        answered(routers[stream.zone], { { std::to_string(it.upstream) }, { stream.route }, kind, now - it.sent, carried, {}, it.ran }, now);
     }
 
     void refuse(const Refusal& refusal)
@@ -437,6 +447,7 @@
             return;
         }
         tally.inTime += outcome == Outcome::Good ? 1 : 0;
+        tally.inAim += outcome == Outcome::Good && (streams[n].aim.ms == 0 || waited <= streams[n].aim) ? 1 : 0;
         tally.failed += outcome == Outcome::Failed ? 1 : 0;
         tally.refused += outcome == Outcome::Refused ? 1 : 0;
         tally.late += outcome == Outcome::Late ? 1 : 0;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -167,6 +167,68 @@
     CHECK(taken >= 1000 * static_cast<int>(seeds)); // of 1320 that a third would be
 }
 
+TEST_CASE("upstreams of one service that differ in speed by three", "[policy][placement]")
+{
+    // Two of six berth-side upstreams run on old hosts at half the speed, one on a new one at half as much again. Taken for
+    // equals, the old ones are kept as full as the others, and crews whose switch goes there wait through its run.
+    for (const double load : { 0.5, 0.7, 0.85, 1.1 }) {
+        const auto day = [&](bool speeds) {
+            Model model = mesh(6, 9, Duration { 3 });
+            const double speedOf[] = { 0.5, 1, 1, 1.5, 0.5, 1 };
+            for (size_t n = 0; n < 6; ++n)
+                model.upstreams[n].slowdown = [slower = 1 / speedOf[n]](int, Time) { return slower; };
+            for (int zone = 0; zone < 3; ++zone) {
+                model.routers.resize(3);
+                model.routers[static_cast<size_t>(zone)].parts.speeds = speeds;
+                Stream stream { "masters", "meter", Priority::Read, load * 5.5 * 9 / 0.22 / 3, 220, Duration { 4000 }, {}, Time { 1 << 30 }, false, false, zone, 50 };
+                stream.spread = 0.3;
+                stream.aim = { 600 };
+                model.streams.push_back(stream);
+            }
+            model.run(Duration { 60'000 });
+            show(speeds ? "by speed" : "as equals", model);
+            Tally sum;
+            for (const Tally& it : model.tallies) {
+                sum.offered += it.offered;
+                sum.inAim += it.inAim;
+                sum.inTime += it.inTime;
+            }
+            return sum;
+        };
+        const Tally before = day(false);
+        const Tally after = day(true);
+        INFO("load " << load << ": within their aim " << before.inAim << " of " << before.offered << " before, " << after.inAim << " after; at all " << before.inTime << " and " << after.inTime);
+        CHECK(after.shareInAim() >= before.shareInAim() * (load < 1 ? 1.02 : 1.0));
+        CHECK(after.goodput() >= before.goodput() * 0.99);
+    }
+}
+
+TEST_CASE("an upstream whose node says that it is warm has its share at once", "[policy][placement]")
+{
+    // An upstream is replaced by one that was warmed up beside it. Held back for as long as the coldest takes, it idles for
+    // ten seconds while members wait at the others.
+    Router it = routerOf({ endpoint("1", "v"), endpoint("2", "v") });
+    setEndpoints(it, std::vector { endpoint("3", "v") }, Time { 20'000 });
+    const auto share = [&](base::PerMille warm) {
+        int toNew = 0;
+        std::map<base::HostId, int> inFlight;
+        for (uint64_t n = 1; n <= 24; ++n) {
+            for (const char* host : { "1", "2", "3" })
+                loadTold(it, { host }, { inFlight[{ host }], 0, 10, false, {}, host[0] == '3' ? warm : base::PerMille { 1000 } }, Time { 20'100 });
+            const auto picked = pick(it, { { "r" }, {}, {} }, Time { 20'100 }, 0x9e3779b97f4a7c15ULL * n);
+            ++inFlight[picked->host];
+            toNew += picked->host.text == "3" ? 1 : 0;
+        }
+        for (const auto& [host, n] : inFlight) {
+            for (int each = 0; each < n; ++each)
+                answered(it, { host, { "r" }, AnswerKind::Good, Duration { 20 }, {} }, Time { 20'200 });
+        }
+        return toNew;
+    };
+    CHECK(share({ 1000 }) >= 6); // of 24
+    CHECK(share({ 100 }) <= 4);
+}
+
 TEST_CASE("an upstream that fails at once draws no traffic for it", "[policy][slow-upstream]")
 {
     // Its store is gone and it answers with an error in a millisecond, so it always looks idle. By load alone nearly
