A call that found no upstream is tried elsewhere, and its host is left alone for half a second

The same last word was given where a link to a dead node could not be made. The load that came with the refusal was that of the other service's idle upstream and drew the next call.

Ruled out: full upstreams (running 0 of 10), a configuration that lags (version 4 everywhere).

Change: NoUpstream ran nothing, so it is tried at up to three hosts like want of room, without the budget; the host gets nothing for 500 ms, and the load that came back is not noted. That nobody is left to ask is a case of its own now.

--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -11,6 +11,10 @@
 // that breaks; larger ones stream, and a break is shown by a reset connection.
 constexpr int64_t heldAnswerBytes = 256 * 1024;
 
+// A node that has just started has its configuration and its upstreams within half a second as a rule, and a service that has
+// lost all of them seldom has one sooner.
+constexpr base::Duration startingPause { 500 };
+
 // One copy of the request on its way to one upstream. There are two at most: the first, and a hedge.
 struct Ingress::Try {
     uint64_t number = 0; // counted over the request's life; tells a late callback from one of the present try
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -98,6 +98,7 @@
     void passCredit(Try&);
     void onWhole(Active&, Try&);
     void noteRefusal(Active&, const base::Error&);
+    void onNobodyLeft(Active&);
     void onFailedTry(Active&, const base::Error&);
     void giveHeld(Active&, const http::AnswerHead&, const std::string& body);
     void giveUp(Active&, const base::Error&); // the final answer where there is none from an upstream
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -124,7 +124,9 @@
 
 static AnswerKind kindOf(const base::Error& error)
 {
-    if (error.code == Code::OutcomeUnknown || error.code == Code::DeadlinePassed || error.code == Code::NoUpstream)
+    if (error.code == Code::NoUpstream)
+        return AnswerKind::Absent;
+    if (error.code == Code::OutcomeUnknown || error.code == Code::DeadlinePassed)
         return AnswerKind::Silent;
     return base::info(error.code).notRun ? AnswerKind::Refused : AnswerKind::Failed;
 }
@@ -206,6 +208,15 @@
         it.refusal->retryAfter = error.retryAfter;
 }
 
+// That nobody else is left says less than what the first one refused it for, and when to come back.
+void Ingress::onNobodyLeft(Active& it)
+{
+    event_del(it.hedgeTimer);
+    base::Error last = it.refusal.value_or(base::fail(Code::NoUpstream, "no upstream of " + it.call.service.text + " can take it", startingPause));
+    last.code = policy::finalCode(it.mayHaveRun, last.code);
+    giveUp(it, last);
+}
+
 void Ingress::onFailedTry(Active& it, const base::Error& error)
 {
     event_del(it.hedgeTimer);
@@ -214,11 +225,6 @@
         it.exchange->abort();
         return forget(it);
     }
-    if (error.code == Code::NoUpstream && it.tries == 0)
-        return giveUp(it, error);
-    // That nobody else is left says less than what the first one refused it for, and when to come back.
-    if (error.code == Code::NoUpstream && it.refusal)
-        return giveUp(it, { policy::finalCode(it.mayHaveRun, it.refusal->code), it.refusal->text, it.refusal->retryAfter });
     noteRefusal(it, error);
     policy::FailedTry failed;
     failed.idempotent = it.route->idempotent;
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -33,6 +33,7 @@
         case base::Code::Draining:
         case base::Code::NotReady:
         case base::Code::VersionTakenBack:
+        case base::Code::NoUpstream: // there, or the link there was never up
             return Kind::Moved;
         case base::Code::Overloaded:
             return Kind::Full;
@@ -58,8 +59,8 @@
 
     int mostTriesFor(Kind kind, const FailedTry& failed)
     {
-        if (kind == Kind::NoRoom)
-            return mostTriesForRoom;
+        if (kind == Kind::NoRoom || kind == Kind::Moved)
+            return mostTriesForRoom; // no upstream has heard of it, so none of the route's attempts is spent
         return kind == Kind::Full ? std::min(mostTriesWhenFull, failed.mostTries) : failed.mostTries;
     }
 
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -58,6 +58,10 @@
     // One pick in so many takes any upstream: one that was slow and is well again, or has just joined, is seen by its answers.
     constexpr uint64_t picksPerTrial = 64;
 
+    // An upstream that was not there gets nothing for this long. Its record runs out after seconds only, and each call sent there
+    // meanwhile costs a round trip; a node that restarts is back within about as long.
+    constexpr base::Duration absentFor { 500 };
+
     constexpr double leastTime = 1; // milliseconds to an answer that count at least; a clock in milliseconds sees no less
 
     bool newer(const config::Endpoint& a, const config::Endpoint& b)
@@ -82,7 +86,7 @@
 
     bool usable(const Router& it, const Target& target, const PickRequest& request, base::Time now)
     {
-        if (!takesWork(target) || isExcluded(request, target.endpoint.host))
+        if (!takesWork(target) || now < target.absentUntil || isExcluded(request, target.endpoint.host))
             return false;
         const Standing stands = standing(it.outliers, subjectOf(target, request.route), now);
         return stands == Standing::In || (stands == Standing::Probe && request.mayProbe);
@@ -288,7 +292,7 @@
         Target& target = it.targets[endpoint.host];
         const bool fresh = target.endpoint.incarnation != endpoint.incarnation || target.endpoint.host.empty();
         if (fresh) {
-            target = { endpoint, now, target.inFlight, {}, now, 0, 1, now, 1 };
+            target = { endpoint, now, target.inFlight, {}, now, 0, 1, now, 1, {} };
             forgetHost(it.outliers, endpoint.host);
         }
         if (target.endpoint.state != config::EndpointState::Ready || fresh)
@@ -330,6 +334,12 @@
         return;
     Target& target = at->second;
     target.inFlight = std::max(0, target.inFlight - 1);
+    if (answer.kind == AnswerKind::Absent) {
+        // Without the load that came back: it is of whatever is there now.
+        target.absentUntil = now + absentFor;
+        cancelled(it.outliers, subjectOf(target, answer.route));
+        return;
+    }
     if (answer.load)
         noteLoad(target, *answer.load, now);
     // A fast failure is no sign of speed, and a refusal is told by the load that comes with it.
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -35,6 +35,7 @@
     double pace = 1; // moving mean of the time to an answer over the usual one of its route; 2: twice as slow
     base::Time paceAt; // of the last answer that went into it
     double speed = 1; // moving mean of its runs alone over those of the whole service on the same route; 2: takes twice as long
+    base::Time absentUntil; // nothing goes there before; it was not found where its record says
 };
 
 // What is usual on one route, over all upstreams of the service.
@@ -85,6 +86,7 @@
     Refused, // not run: overloaded or draining
     Silent, // no answer within the limit, or the link broke
     Cancelled, // by us; says nothing about the upstream
+    Absent, // not run: no such upstream is at its host's address, or its node cannot be reached
 };
 
 struct Answered {
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -185,3 +185,31 @@
     CHECK(answer->headers["appletally-result"] == "501");
     CHECK(answer->headers["appletally-not-run"] != "1");
 }
+
+TEST_CASE("a host whose address has another service's upstream now turns nobody away", "[node]")
+{
+    // A host is lost with its upstream, and a new host of another service gets its address before the old record has run
+    // out. Its node says truly that it has no such upstream; members are refused for seconds while others of their service
+    // idle, and the new node's idle slots draw more of them.
+    Pair it;
+    TestUpstream other(it.mesh.loop());
+    TestNode& c = it.mesh.addNode("c", "z2");
+    it.mesh.announce(c, other, "ready", 10, "1.0", "plug-control");
+    it.mesh.applyEverywhere("examples/berthgrid.json");
+    config::Endpoint old;
+    old.host = { "lost" };
+    old.service = { "berth-data" };
+    old.version = { "1.0" };
+    old.zone = { "z2" }; // the callers' own
+    old.inner = c.addresses.inner;
+    old.slots = 10;
+    old.incarnation = { 1 };
+    old.sequence = { 1 };
+    it.b.fromControl.send(inner::EndpointsChanged { { old } });
+    for (int n = 0; n < 20; ++n)
+        CHECK(it.ask("GET", "/berths/7")->status == 200);
+    it.b.fromControl.send(inner::DumpAsked { 1 });
+    REQUIRE(it.mesh.run([&] { return std::holds_alternative<inner::DumpAnswered>(it.b.toControl.back()); }));
+    const auto dump = base::Json::parse(std::get<inner::DumpAnswered>(it.b.toControl.back()).json);
+    CHECK(dump["ingress"]["counts"]["retried"] <= 2); // it is left alone once it has said so
+}
