--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -171,7 +171,7 @@
 {
     // Two of six berth-side upstreams run on old hosts at half the speed, one on a new one at half as much again. Taken for
     // equals, the old ones are kept as full as the others, and crews whose switch goes there wait through its run.
-    for (const double load : { 0.5, 0.7, 0.85, 1.1 }) {
+    for (const double load : { 0.5, 0.7, 0.85, 1.1, 1.5, 2.0 }) {
         const auto day = [&](bool speeds) {
             Model model = mesh(6, 9, Duration { 3 });
             const double speedOf[] = { 0.5, 1, 1, 1.5, 0.5, 1 };
