A dead control host no longer counts for a majority seconds after it was replaced

Cause: a host that is gone stayed a voter until its link had been silent for 8 s, counted anew by each leader, while its successor became a voter within a second. Four voters with one dead need all three that live, so a lost disk ended the log for good.

Change: silence is what the leader's own log traffic shows, not the state of a link. A voter that is silent for 2 s is taken out where that costs nothing: of an even number, or where a replica that has everything stands by. A standby does not become a voter while that would make an odd number even and a voter is silent. Why it works: at no moment are there fewer losses to bear than before, and the repair ends within 3 s, before the successor counts as a host that has caught up (4 s).

--- a/src/appletally/consensus/membership.cpp
+++ b/src/appletally/consensus/membership.cpp
@@ -136,16 +136,42 @@
     return nullptr;
 }
 
+static bool responds(const Replica& r, ReplicaId id, base::Time now)
+{
+    const auto progress = r.progress.find(id);
+    return id == r.id || (progress != r.progress.end() && progress->second.answered && now - progress->second.heard < r.config.electionTimeout);
+}
+
 // Joining, and holding all that is committed. Let in earlier it would be counted on for a majority while it still
 // copies the log, and the loss of one more host would stop the log for that long.
-static const Member* caughtUp(const Context& c, const Members& members)
+static bool caughtUp(const Replica& r, const Members& members, const Member& member, base::Time now)
 {
-    const Replica& r = c.replica;
+    if (member.role != Role::Joining || !responds(r, member.id, now))
+        return false;
+    const Progress& p = r.progress.at(member.id);
+    return p.match >= r.commit && p.recordedCommit >= members.index;
+}
+
+// A further voter makes an odd number even, which raises the majority and not the losses that it bears. With a voter
+// down at that moment none would be left to lose, so the replica stands by until that one answers or is taken out. One that
+// replaces a member goes on: the member's removal follows.
+static bool mayBecomeVoter(const Replica& r, const Members& members, const Member& joining, base::Time now)
+{
+    size_t voters = 0;
+    bool allRespond = true;
     for (const Member& it : members.list) {
-        if (it.role != Role::Joining)
+        if (it.role != Role::Voter)
             continue;
-        const Progress& p = r.progress.at(it.id);
-        if (p.match >= r.commit && p.recordedCommit >= members.index && c.now - p.heard < r.config.electionTimeout)
+        voters++;
+        allRespond &= responds(r, it.id, now);
+    }
+    return findMember(members, joining.replaces) || voters % 2 == 0 || allRespond;
+}
+
+static const Member* nextVoter(const Replica& r, const Members& members, base::Time now)
+{
+    for (const Member& it : members.list) {
+        if (caughtUp(r, members, it, now) && mayBecomeVoter(r, members, it, now))
             return &it;
     }
     return nullptr;
@@ -160,7 +186,7 @@
     std::vector<Member> list = members.list;
     if (const Member* it = replacement(members)) {
         list = without(std::move(list), it->replaces);
-    } else if (const Member* joining = caughtUp(c, members)) {
+    } else if (const Member* joining = nextVoter(r, members, c.now)) {
         const ReplicaId id = joining->id;
         std::find_if(list.begin(), list.end(), [&](const Member& m) { return m.id == id; })->role = Role::Voter;
     } else {
@@ -170,3 +196,25 @@
 }
 
 } // namespace appletally::consensus::core
+
+namespace appletally::consensus {
+
+std::set<ReplicaId> respondingVoters(const Replica& r, base::Time now)
+{
+    std::set<ReplicaId> out;
+    for (const Member& it : latestMembers(r).list) {
+        if (it.role == Role::Voter && core::responds(r, it.id, now))
+            out.insert(it.id);
+    }
+    return out;
+}
+
+bool hasStandby(const Replica& r, base::Time now)
+{
+    const Members& members = latestMembers(r);
+    return isLeader(r) && std::any_of(members.list.begin(), members.list.end(), [&](const Member& it) {
+        return core::caughtUp(r, members, it, now) && !findMember(members, it.replaces);
+    });
+}
+
+} // namespace appletally::consensus
--- a/src/appletally/consensus/replica.h
+++ b/src/appletally/consensus/replica.h
@@ -112,7 +112,8 @@
     LogIndex sentCommit; // the highest commit told
     LogIndex sentReleased;
     uint64_t round = 0; // the highest round answered
-    base::Time heard; // last answer
+    base::Time heard; // last answer, or when this replica began to lead
+    bool answered = false; // since this replica leads
     base::Time sent; // last message with entries or a chunk
     bool waiting = false; // one message with entries or a chunk is on its way
     uint64_t offset = 0; // of the snapshot, next byte to send
@@ -194,6 +195,10 @@
 const Members& committedMembers(const Replica&); // the newest whose index is in the recorded commit
 const Member* findMember(const Members&, ReplicaId);
 LogIndex lastIndex(const Replica&);
+
+// Both only on a leader.
+std::set<ReplicaId> respondingVoters(const Replica&, base::Time now); // answered within an election timeout; itself among them
+bool hasStandby(const Replica&, base::Time now); // a joining replica that replaces nobody has all that is committed
 inline bool isLeader(const Replica& it) { return it.standing == Standing::Leader; }
 
 } // namespace appletally::consensus
--- a/src/appletally/control/duties.cpp
+++ b/src/appletally/control/duties.cpp
@@ -154,15 +154,12 @@
 {
     if (!findsPeers() || m_changingMembers)
         return;
-    std::set<base::ReplicaId> reached { m_replica->replica().id };
-    for (const auto& it : m_peers) {
-        if (it->up())
-            reached.insert(it->replica());
-    }
-    const auto lost = policy::nextLost(m_lostVoters, consensus::latestMembers(m_replica->replica()), reached, base::steadyNow());
+    const consensus::Replica& replica = m_replica->replica();
+    const base::Time now = base::steadyNow();
+    const auto lost = policy::nextLost(m_lostVoters, consensus::latestMembers(replica), consensus::respondingVoters(replica, now), consensus::hasStandby(replica, now), now);
     if (!lost)
         return;
-    base::logEvent(base::Event::ReplicaRemoved, "replica " + std::to_string(lost->value) + " was silent for " + std::to_string(policy::lostAfter.ms) + " ms and is taken out");
+    base::logEvent(base::Event::ReplicaRemoved, "replica " + std::to_string(lost->value) + " was silent for " + std::to_string((now - m_lostVoters.silentSince.at(*lost)).ms) + " ms and is taken out");
     m_changingMembers = true;
     m_tasks->add(m_replica->removeMember(*lost).then([this](const base::Result<base::LogIndex>&) { m_changingMembers = false; }));
 }
--- a/src/appletally/policy/lost_voters.cpp
+++ b/src/appletally/policy/lost_voters.cpp
@@ -5,7 +5,7 @@
 
 namespace appletally::policy {
 
-std::optional<base::ReplicaId> nextLost(LostVoters& it, const consensus::Members& members, const std::set<base::ReplicaId>& reached, base::Time now)
+std::optional<base::ReplicaId> nextLost(LostVoters& it, const consensus::Members& members, const std::set<base::ReplicaId>& responding, bool standby, base::Time now)
 {
     std::map<base::ReplicaId, base::Time> silent;
     size_t voters = 0;
@@ -13,16 +13,17 @@
         if (member.role != consensus::Role::Voter)
             continue;
         ++voters;
-        if (reached.contains(member.id))
+        if (responding.contains(member.id))
             continue;
         const auto known = it.silentSince.find(member.id);
         silent[member.id] = known == it.silentSince.end() ? now : known->second;
     }
     it.silentSince = std::move(silent);
-    if (voters <= leastVoters || it.silentSince.empty())
+    if (it.silentSince.empty() || (voters <= leastVoters && !standby))
         return std::nullopt;
     const auto longest = std::min_element(it.silentSince.begin(), it.silentSince.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (now - longest->second < lostAfter)
+    const bool costsNothing = standby || voters % 2 == 0;
+    if (now - longest->second < (costsNothing ? replacedAfter : lostAfter))
         return std::nullopt;
     return longest->first;
 }
--- a/src/appletally/policy/lost_voters.h
+++ b/src/appletally/policy/lost_voters.h
@@ -1,11 +1,12 @@
 // Which voter of the replicated log is given up for lost.
 //
-// Load pattern: a control host is gone for good and an empty one comes at another address; months later a second one goes.
+// Load pattern: a control host is gone for good and an empty one comes at another address; soon after, a second one goes.
 // Without it every lost host stays a member, so that the log needs a majority that counts the dead: of three hosts and one
 // replacement all three that live are needed, and the next loss stops every change.
 //
-// Taking out a voter that cannot be reached never lowers how many more may be lost, as long as three are left: of four with
-// one dead none may go, of the three that remain one may. One that comes back after all is let in again, with its log.
+// Of an even number of voters one that is down can be taken out at no cost: of four with one dead none may go, of the three
+// that remain one may. Of an odd number it can as soon as a standby is there to take the place. One that comes back after
+// all is let in again, with its log.
 #pragma once
 
 #include "appletally/consensus/replica.h"
@@ -19,14 +20,18 @@
 // Longer than a restart, a freeze or a short cut takes; until then the host comes back and nothing has to be copied.
 constexpr base::Duration lostAfter { 8000 };
 
-// Two voters tolerate no loss, so nothing would be won.
+// The same where taking it out costs nothing. The replaced host and the next one may be lost seconds apart.
+constexpr base::Duration replacedAfter { 2000 };
+
+// Two voters tolerate no loss, so nothing would be won without a standby.
 constexpr size_t leastVoters = 3;
 
 struct LostVoters {
-    std::map<base::ReplicaId, base::Time> silentSince; // voters that the leader does not reach
+    std::map<base::ReplicaId, base::Time> silentSince; // voters that do not answer the leader
 };
 
-// `reached`: replicas that the leader has a working link to, itself among them. Call at intervals; empty: nobody.
-std::optional<base::ReplicaId> nextLost(LostVoters&, const consensus::Members&, const std::set<base::ReplicaId>& reached, base::Time now);
+// `responding`: voters that answer the leader, itself among them. `standby`: a replica waits to become a voter and has
+// everything. Call at intervals; empty: nobody.
+std::optional<base::ReplicaId> nextLost(LostVoters&, const consensus::Members&, const std::set<base::ReplicaId>& responding, bool standby, base::Time now);
 
 } // namespace appletally::policy
--- a/tests/consensus_cluster.cpp
+++ b/tests/consensus_cluster.cpp
@@ -344,13 +344,25 @@
     return true;
 }
 
+void Cluster::wipe(size_t host)
+{
+    crash(*this, host, 0);
+    folders[hosts[host].id].lost = true;
+    format(*this, host, { folders.rbegin()->first.value + 1 }, {});
+}
+
+size_t Cluster::addHost()
+{
+    hosts.emplace_back();
+    format(*this, hosts.size() - 1, { folders.rbegin()->first.value + 1 }, {});
+    return hosts.size() - 1;
+}
+
 static void loseDisk(Cluster& c, size_t n)
 {
     crash(c, n, 0);
-    if (!lossIsBearable(c, c.hosts[n].id))
-        return;
-    c.folders[c.hosts[n].id].lost = true;
-    format(c, n, { c.folders.rbegin()->first.value + 1 }, {});
+    if (lossIsBearable(c, c.hosts[n].id))
+        c.wipe(n);
 }
 
 static void propose(Cluster& c, size_t n)
--- a/tests/consensus_cluster.h
+++ b/tests/consensus_cluster.h
@@ -115,6 +115,8 @@
     void feed(size_t host, Input);
     size_t leader() const; // the up, thawed host that leads in the highest term; hosts.size(): none
     void calm(); // ends all faults
+    void wipe(size_t host); // its disk is lost for good, also where a majority goes with it; the host is down
+    size_t addHost(); // down, with an empty folder that nobody has let in
     void settle(); // calm, then runs until everyone has applied a fresh proposal, and compares
 };
 
--- a/tests/formation_test.cpp
+++ b/tests/formation_test.cpp
@@ -100,10 +100,9 @@
     }
 }
 
+// Guards against: a dead host that is still counted, so that the loss of another leaves no majority.
 TEST_CASE("a control host that is gone for good is taken out once another has taken its place", "[formation]")
 {
-    // A host is replaced by an empty one at another address, and later a second one fails. With the dead one still counted,
-    // the two that live are no majority of four, and no change is accepted any more.
     const auto membersOf = [](const std::vector<uint64_t>& ids) {
         consensus::Members out;
         for (const uint64_t id : ids)
@@ -112,16 +111,31 @@
     };
     policy::LostVoters lost;
     const consensus::Members three = membersOf({ 1, 2, 3 });
-    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, { 0 }));
-    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, { 60'000 })); // nobody has come for it
+    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, false, { 0 }));
+    CHECK_FALSE(policy::nextLost(lost, three, { { 1 }, { 2 } }, false, { 60'000 })); // nobody has come for it
     const consensus::Members four = membersOf({ 1, 2, 3, 4 });
-    CHECK(policy::nextLost(lost, four, { { 1 }, { 2 }, { 4 } }, { 61'000 }) == base::ReplicaId { 3 });
+    CHECK(policy::nextLost(lost, four, { { 1 }, { 2 }, { 4 } }, false, { 61'000 }) == base::ReplicaId { 3 });
 
     policy::LostVoters back;
-    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 0 }));
-    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 3 }, { 4 } }, { 7000 })); // a restart, a freeze
-    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 9000 }));
-    CHECK(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, { 17'001 }) == base::ReplicaId { 3 });
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, false, { 0 }));
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 3 }, { 4 } }, false, { 7000 })); // a restart, a freeze
+    CHECK_FALSE(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, false, { 9000 }));
+    CHECK(policy::nextLost(back, four, { { 1 }, { 2 }, { 4 } }, false, { 17'001 }) == base::ReplicaId { 3 });
+
+    policy::LostVoters even;
+    CHECK_FALSE(policy::nextLost(even, four, { { 1 }, { 2 }, { 4 } }, false, { 0 }));
+    CHECK_FALSE(policy::nextLost(even, four, { { 1 }, { 2 }, { 4 } }, false, { 1999 }));
+    CHECK(policy::nextLost(even, four, { { 1 }, { 2 }, { 4 } }, false, { 2000 }) == base::ReplicaId { 3 });
+
+    policy::LostVoters odd;
+    const consensus::Members five = membersOf({ 1, 2, 3, 4, 5 });
+    CHECK_FALSE(policy::nextLost(odd, five, { { 1 }, { 2 }, { 4 }, { 5 } }, false, { 0 }));
+    CHECK_FALSE(policy::nextLost(odd, five, { { 1 }, { 2 }, { 4 }, { 5 } }, false, { 7999 }));
+    CHECK(policy::nextLost(odd, five, { { 1 }, { 2 }, { 4 }, { 5 } }, false, { 8000 }) == base::ReplicaId { 3 });
+
+    policy::LostVoters replaced;
+    CHECK_FALSE(policy::nextLost(replaced, three, { { 1 }, { 2 } }, true, { 0 }));
+    CHECK(policy::nextLost(replaced, three, { { 1 }, { 2 } }, true, { 2000 }) == base::ReplicaId { 3 });
 }
 
 TEST_CASE("a damaged folder is set aside and its replica starts anew", "[formation]")
