A host's new replica takes the place of its lost one in a single change

What callers would see: a control host loses its disk, comes back, and loses it again while it is being let in. The log then has four voters, two of them gone for good: no change is accepted any more and what was acknowledged cannot be read.

Cause: a repair let the new replica vote in one change and took the lost one out in the next, also where the loss was certain. The state test could not find it: it judges which losses are bearable by the members of the moment, so it never took the second disk.

Change: in a mesh that finds itself a host is known by its address and has one data folder, so its new replica proves that the one before it is gone, and both changes become one. Majorities before and after it share a replica among those that still answer; what the lost one voted for or recorded before counts no more, because its successor's joining was released by a majority without it. With a fixed list of voters, where an operator may be wrong about a loss, nothing changes.

--- a/src/appletally/consensus/membership.cpp
+++ b/src/appletally/consensus/membership.cpp
@@ -3,6 +3,10 @@
 // A repair has three changes: the new replica joins without a vote; once it has caught up it gets one; then the lost one
 // is taken out. In this order there are never fewer replicas that hold what is accepted than before the loss. Whoever
 // leads goes on with it, since what is still to do stands in the members themselves.
+//
+// Where a host's new replica proves that the one before it is gone (Config::oneReplicaPerHost), the last two are one change.
+// Majorities before and after it need not share a replica, but those that can still act do: the lost one answers nobody.
+// What it had voted for or recorded before counts no more either, since joining was released by a majority without it.
 #include "appletally/consensus/core.h"
 
 #include <algorithm>
@@ -177,6 +181,12 @@
     return nullptr;
 }
 
+static bool provesLoss(const Replica& r, const Members& members, const Member& joining)
+{
+    const Member* replaced = findMember(members, joining.replaces);
+    return r.config.oneReplicaPerHost && replaced && replaced->host == joining.host;
+}
+
 void continueRepair(Context& c)
 {
     const Replica& r = c.replica;
@@ -189,6 +199,8 @@
     } else if (const Member* joining = nextVoter(r, members, c.now)) {
         const ReplicaId id = joining->id;
         std::find_if(list.begin(), list.end(), [&](const Member& m) { return m.id == id; })->role = Role::Voter;
+        if (provesLoss(r, members, *joining))
+            list = without(std::move(list), joining->replaces);
     } else {
         return;
     }
--- a/src/appletally/consensus/types.h
+++ b/src/appletally/consensus/types.h
@@ -103,6 +103,8 @@
     size_t appendBytes = 256 * 1024; // entries in one Append; at least one entry goes
     size_t chunkBytes = 256 * 1024; // of a snapshot in one message
     uint64_t pendingEntries = 1000; // not committed yet; more proposals are refused, so that a slow majority costs no memory
+    // A host's new replica proves that the one before it is gone for good: the new one takes its place in a single change.
+    bool oneReplicaPerHost = false;
     uint64_t keepEntries = 1000; // behind a snapshot, so that a replica a little behind needs no snapshot
 };
 
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -152,7 +152,9 @@
         m_keeperChange = {};
         base::logEvent(leads ? base::Event::BecameLeader : base::Event::LostLeadership, "term " + std::to_string(m_replica->replica().state.term.value));
     };
-    m_replica = std::make_unique<ReplicaDriver>(m_timer, std::move(disk), std::move(hooks));
+    consensus::Config config;
+    config.oneReplicaPerHost = findsPeers();
+    m_replica = std::make_unique<ReplicaDriver>(m_timer, std::move(disk), config, std::move(hooks));
     m_replaying = true;
     m_replica->start();
     m_replaying = false;
--- a/src/appletally/control/replica_driver.cpp
+++ b/src/appletally/control/replica_driver.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-ReplicaDriver::ReplicaDriver(kj::Timer& timer, consensus::DiskLog disk, ReplicaHooks hooks)
+ReplicaDriver::ReplicaDriver(kj::Timer& timer, consensus::DiskLog disk, const consensus::Config& config, ReplicaHooks hooks)
     : m_timer(timer)
     , m_disk(std::move(disk))
-    , m_replica(consensus::make(consensus::durable(m_disk), consensus::Config {}))
+    , m_replica(consensus::make(consensus::durable(m_disk), config))
     , m_hooks(std::move(hooks))
     , m_snapshotAt(m_disk.snapshot.meta.index)
     , m_tasks(*this)
--- a/src/appletally/control/replica_driver.h
+++ b/src/appletally/control/replica_driver.h
@@ -29,7 +29,7 @@
 class ReplicaDriver : public kj::TaskSet::ErrorHandler {
 public:
     // Hooks may be called before the constructor's caller goes on only from start().
-    ReplicaDriver(kj::Timer&, consensus::DiskLog, ReplicaHooks);
+    ReplicaDriver(kj::Timer&, consensus::DiskLog, const consensus::Config&, ReplicaHooks);
     void start();
 
     void received(consensus::Message);
--- a/tests/consensus_cluster.cpp
+++ b/tests/consensus_cluster.cpp
@@ -67,7 +67,7 @@
     c.feed(n, Tick {});
 }
 
-Cluster::Cluster(size_t voters, uint64_t seed, base::Duration electionTimeout)
+Cluster::Cluster(size_t voters, uint64_t seed, base::Duration electionTimeout, bool oneReplicaPerHost)
     : random(seed)
     , hosts(voters)
 {
@@ -76,6 +76,7 @@
     config.keepEntries = 3;
     config.chunkBytes = 16;
     config.appendBytes = 24;
+    config.oneReplicaPerHost = oneReplicaPerHost;
     std::vector<Member> members;
     for (size_t n = 0; n < voters; ++n)
         members.push_back({ { n + 1 }, hostName(n), Role::Voter, {} });
--- a/tests/consensus_cluster.h
+++ b/tests/consensus_cluster.h
@@ -96,7 +96,7 @@
 };
 
 struct Cluster {
-    explicit Cluster(size_t voters, uint64_t seed = 1, base::Duration electionTimeout = { 500 });
+    explicit Cluster(size_t voters, uint64_t seed = 1, base::Duration electionTimeout = { 500 }, bool oneReplicaPerHost = false);
 
     Config config;
     base::Time now { 1000 };
--- a/tests/consensus_fuzz_test.cpp
+++ b/tests/consensus_fuzz_test.cpp
@@ -99,10 +99,11 @@
 
 static uint64_t stepsTaken = 0;
 
-static void property()
+static void property(bool oneReplicaPerHost)
 {
     const auto voters = *rc::gen::element<uint32_t>(3, 4, 5);
-    Cluster cluster(voters, *rc::gen::arbitrary<uint64_t>(), { 150 });
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    Cluster cluster(voters, seed, { 150 }, oneReplicaPerHost);
     try {
         cluster.run({ Do::Run, 40, 0 }); // a leader to begin with
         rc::state::check(Known { voters, {}, {} }, cluster, anyStep);
@@ -113,11 +114,11 @@
     stepsTaken += cluster.steps;
 }
 
-static void check(const rc::detail::TestParams& params)
+static void check(const rc::detail::TestParams& params, bool oneReplicaPerHost)
 {
     rc::detail::TestMetadata about;
     about.id = "consensus";
-    const auto result = rc::detail::checkTestable(property, about, params);
+    const auto result = rc::detail::checkTestable([=] { property(oneReplicaPerHost); }, about, params);
     std::ostringstream out;
     rc::detail::printResultMessage(result, out);
     INFO(out.str());
@@ -129,12 +130,14 @@
     // Crashes, lost disks, frozen processes, cuts and messages that cross come in any order while operators submit and
     // read. A user would notice a version that was accepted and is gone, or two nodes that enforce different ones.
     if (std::getenv("APPLETALLY_FUZZ")) {
-        check(rc::detail::configuration().testParams);
+        check(rc::detail::configuration().testParams, false);
+        check(rc::detail::configuration().testParams, true);
         return;
     }
     for (const uint64_t seed : { 1, 2, 3, 4, 5, 6 }) {
         CAPTURE(seed);
-        check({ .seed = seed, .maxSuccess = 100, .maxSize = 400 });
+        check({ .seed = seed, .maxSuccess = 100, .maxSize = 400 }, false);
+        check({ .seed = seed, .maxSuccess = 100, .maxSize = 400 }, true);
     }
     std::cout << "consensus: " << stepsTaken << " steps\n";
 }
--- a/tests/membership_repair_test.cpp
+++ b/tests/membership_repair_test.cpp
@@ -86,7 +86,7 @@
                 if (victim == replaced)
                     continue;
                 CAPTURE(replaced, victim, delay);
-                Cluster c(3, 1 + delay);
+                Cluster c(3, 1 + delay, { 500 }, true);
                 Duties duties;
                 runWithDuties(c, duties, 2 * second);
                 acceptSome(c, duties);
@@ -105,3 +105,24 @@
         }
     }
 }
+
+// Guards against: a repair that counts both of a host's lost replicas as voters, so that the two that live are no majority.
+TEST_CASE("a host that loses its disk again at any moment of its repair leaves a majority", "[consensus][formation]")
+{
+    for (uint32_t victim = 0; victim < 3; ++victim) {
+        for (uint32_t delay = 0; delay <= second; ++delay) {
+            CAPTURE(victim, delay);
+            Cluster c(3, 1 + delay, { 500 }, true);
+            Duties duties;
+            runWithDuties(c, duties, 2 * second);
+            acceptSome(c, duties);
+            c.wipe(victim);
+            start(c, victim);
+            runWithDuties(c, duties, delay);
+            c.wipe(victim);
+            c.run({ Do::Outage, UINT32_MAX, 0 });
+            c.run({ Do::Return, 0, 0 });
+            CHECK(serves(c, duties));
+        }
+    }
+}
