Numbers of a configuration beyond what their types hold keep their meaning

What callers would see: a part of the traffic with a weight below 0.001 got nothing, and a weight, a timeout or a number of connections beyond its type's range became another number, by undefined behaviour.

Cause: plain casts from double.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -149,6 +149,34 @@
     CHECK(code([](Json& it) { it["routes"] = Json::array(); }) == Code::AnswersInvalid);
 }
 
+// Guards against: a number that does not fit the type that holds it and becomes another one, such as a weight of zero.
+TEST_CASE("weights of any size keep their proportion, and limits beyond any use are as good as none", "[platform]")
+{
+    const auto partsOf = [](double first, double second) {
+        Json it = configuration(7);
+        it["routes"]["r2"]["traffic_split"][0]["weight"] = first;
+        it["routes"]["r2"]["traffic_split"][1]["weight"] = second;
+        const auto document = platform::readDocument(it.dump(), 5);
+        REQUIRE(document);
+        const auto& splits = document.value().routes.at({ "r2" }).route.splits;
+        return std::pair(splits[0].weight, splits[1].weight);
+    };
+    CHECK(partsOf(90, 10) == std::pair(90'000, 10'000));
+    CHECK(partsOf(90, 0) == std::pair(90'000, 0));
+    CHECK(partsOf(90, 0.0004) == std::pair(90'000, 1));
+    const auto [large, small] = partsOf(9e12, 1e12);
+    CHECK(small > 0);
+    CHECK(large == Approx(9.0 * small).epsilon(0.01));
+
+    Json it = configuration(7);
+    it["routes"]["r1"]["timeout_ms"] = 1e300;
+    it["services"]["plugs"]["max_connections"] = 1e12;
+    const auto document = platform::readDocument(it.dump(), 5);
+    REQUIRE(document);
+    CHECK(document.value().routes.at({ "r1" }).route.timeout > base::Duration { 1'000'000 });
+    CHECK(document.value().services.at({ "plugs" }).service.mostConnections > 1'000'000);
+}
+
 TEST_CASE("documents: one wins of two on the same base, a resend gets its first answer, what is read back is what was sent", "[platform][documents]")
 {
     // Two operators build on the same version; one loses its acknowledgement and sends again, while the next change has
