A configuration that names a resource twice is refused

What callers would see: an operator's document with two routes of one name was acknowledged, but only one of the two was enforced and read back; the same for two services, two versions or two fields of a route. Text that is no UTF-8 and a version above 2^63 - 1 were acknowledged or never decided, and a million nested lists ended the control process.

Cause: the decoder took tables by name and let the later one win.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -149,6 +149,28 @@
     CHECK(code([](Json& it) { it["routes"] = Json::array(); }) == Code::AnswersInvalid);
 }
 
+// Guards against: a configuration that is acknowledged though part of what was sent is not in it.
+TEST_CASE("a configuration with a repeated name, broken text, endless nesting or an unreadable version is refused", "[platform]")
+{
+    const std::string whole = configuration(7).dump();
+    const auto replaced = [&](const std::string& from, const std::string& to) {
+        std::string out = whole;
+        const size_t at = out.find(from);
+        REQUIRE(at != std::string::npos);
+        const auto read = platform::readDocument(out.replace(at, from.size(), to), 5);
+        return read ? Code::Ok : read.error().code;
+    };
+    CHECK(replaced("\"version\":7", "\"version\":7") == Code::Ok);
+    CHECK(replaced("\"r2\":", "\"r1\":") == Code::AnswersInvalid);
+    CHECK(replaced("\"plugs\":{", "\"data\":{") == Code::AnswersInvalid);
+    CHECK(replaced("\"version\":7", "\"version\":7,\"version\":8") == Code::AnswersInvalid);
+    CHECK(replaced("\"timeout_ms\":1000", "\"timeout_ms\":1000,\"timeout_ms\":10") == Code::AnswersInvalid);
+    CHECK(replaced("\"a\":1.5", "\"a\":1.5,\"a\":2") == Code::AnswersInvalid);
+    CHECK(replaced("\"a\":1.5", "\"a\":" + std::string(1'000'000, '[') + std::string(1'000'000, ']')) == Code::AnswersInvalid);
+    CHECK(replaced("a.example", "a\xff.example") == Code::AnswersInvalid);
+    CHECK(replaced("\"version\":7", "\"version\":9223372036854775808") == Code::AnswersInvalid);
+}
+
 // Guards against: a number that does not fit the type that holds it and becomes another one, such as a weight of zero.
 TEST_CASE("weights of any size keep their proportion, and limits beyond any use are as good as none", "[platform]")
 {
