--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -25,6 +25,7 @@
     { "appletally_node_links", MetricKind::Gauge, "links with other nodes, by direction" },
     { "appletally_log_leads", MetricKind::Gauge, "1: this replica leads" },
     { "appletally_log_members", MetricKind::Gauge, "members of the replicated log, by role" },
+    { "appletally_log_losses_left", MetricKind::Gauge, "voters that may still be lost before changes stop; only on the leader" },
     { "appletally_log_index", MetricKind::Gauge, "log index, by what has come that far here" },
     { "appletally_control_links", MetricKind::Gauge, "links to other control processes that work" },
     { "appletally_nodes", MetricKind::Gauge, "nodes within reach, by whether they have the newest version in force" },
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -19,6 +19,11 @@
         const auto voters = std::count_if(members.begin(), members.end(), [](const consensus::Member& it) { return it.role == consensus::Role::Voter; });
         add("appletally_log_members", "role=\"voter\"", static_cast<uint64_t>(voters));
         add("appletally_log_members", "role=\"other\"", members.size() - static_cast<size_t>(voters));
+        if (leads()) {
+            const size_t majority = static_cast<size_t>(voters) / 2 + 1;
+            const size_t responding = consensus::respondingVoters(replica, base::steadyNow()).size();
+            add("appletally_log_losses_left", "", responding > majority ? responding - majority : 0);
+        }
         add("appletally_log_index", "what=\"applied\"", replica.applied.value);
         add("appletally_log_index", "what=\"committed\"", replica.commit.value);
         add("appletally_log_index", "what=\"released\"", replica.released.value);
