A crowded link no longer keeps a node from finding a source of configuration

Four had none for 0.2, 2.0, 3.9 and 17.3 s and kept an old version: their links (9.4 Mbit/s, the service with 90 KB answers) held 0.7 to 1.3 s of queued answers, a connect waits behind them, and each was given up after 150 ms for the next. A fixed limit below the delay never succeeds.

Change: a try that is slow goes on for up to 1.2 s, and others begin beside it every 150 ms, at other sources first, then at the same ones; whichever connects first is taken (policy/source_race). The limit for the proof counts from the connection. Links between control processes, which have one address each, wait 1.2 s in every third try.

--- a/src/appletally/control/peer_link.cpp
+++ b/src/appletally/control/peer_link.cpp
@@ -17,6 +17,8 @@
     // Reports of many nodes leave as one message; the delay is part of an endpoint's way to the other nodes.
     constexpr base::Duration sharePause { 10 };
 
+    constexpr uint64_t patientEvery = 3; // connects; see patientConnectLimit
+
     // Voters find each other again quickly: until then a leader may lack its majority.
     constexpr int mostCountedFailures = 1; // waits of at most 200 ms; there are a dozen control processes and no herd
 
@@ -41,7 +43,8 @@
 
 kj::Promise<void> PeerLink::run()
 {
-    return inner::connect(m_io, m_membership, m_peer.address, inner::rpc::Role::PEER)
+    const bool patient = ++m_connects % patientEvery == 0;
+    return inner::connect(m_io, m_membership, m_peer.address, inner::rpc::Role::PEER, patient ? inner::patientConnectLimit : inner::connectLimit)
         .then([this](base::Result<kj::Own<inner::RpcLink>> linked) -> kj::Promise<base::Error> {
             if (!linked)
                 return linked.error();
@@ -64,6 +67,7 @@
         m_replica = answer.replica;
         m_ready = true;
         policy::succeeded(m_backoff);
+        m_connects = 0;
         base::logEvent(base::Event::LinkUp, m_peer.host.text + " at " + m_peer.address.text());
         m_pending = m_hooks.everything();
         sendShare();
--- a/src/appletally/control/peer_link.h
+++ b/src/appletally/control/peer_link.h
@@ -69,6 +69,7 @@
     bool m_ready = false;
     base::ReplicaId m_replica;
     policy::Backoff m_backoff;
+    uint64_t m_connects = 0; // in a row, without a link
     size_t m_underWay = 0; // consensus messages not yet taken by the peer
     size_t m_underWayBytes = 0;
     uint64_t m_dropped = 0; // consensus messages
--- a/src/appletally/inner/rpc_limits.h
+++ b/src/appletally/inner/rpc_limits.h
@@ -26,6 +26,10 @@
 // connection would be answered at once. Four round trips between regions.
 constexpr base::Duration connectLimit { 150 };
 
+// A connect over a crowded link waits behind what is queued there. Whoever tries one address again and again has to wait
+// this long now and then, or it never succeeds. The kernel's second try is within it.
+constexpr base::Duration patientConnectLimit { 1200 };
+
 // From accept or connect to a proven key. A peer that only opens connections is shed after it, and one that does not
 // answer costs whoever looks for a source this long. One lost packet after the handshake (200 ms until it is sent again) fits.
 constexpr base::Duration proofLimit { 1500 };
--- a/src/appletally/inner/rpc_link.cpp
+++ b/src/appletally/inner/rpc_link.cpp
@@ -66,24 +66,25 @@
 
 } // namespace
 
-kj::Promise<base::Result<kj::Own<RpcLink>>> connect(kj::AsyncIoContext& io, const Membership& membership, const base::Address& address, rpc::Role role)
+kj::Promise<kj::Own<kj::AsyncIoStream>> dial(kj::AsyncIoContext& io, const base::Address& address, base::Duration limit)
+{
+    kj::Timer& timer = io.provider->getTimer();
+    return io.provider->getNetwork().parseAddress(address.ip, address.port).then([&timer, limit](kj::Own<kj::NetworkAddress> parsed) {
+        auto connecting = parsed->connect();
+        return timer.timeoutAfter(limit.ms * kj::MILLISECONDS, connecting.attach(kj::mv(parsed)));
+    });
+}
+
+kj::Promise<base::Result<kj::Own<RpcLink>>> prove(kj::AsyncIoContext& io, const Membership& membership, const base::Address& address, rpc::Role role, kj::Own<kj::AsyncIoStream> stream)
 {
     kj::Timer& timer = io.provider->getTimer();
     auto greeting = kj::heap<Greeting>(Greeting { membership, address, role });
     Greeting& it = *greeting;
-    return io.provider->getNetwork()
-        .parseAddress(address.ip, address.port)
-        .then([&timer](kj::Own<kj::NetworkAddress> parsed) {
-            auto connecting = parsed->connect();
-            return timer.timeoutAfter(connectLimit.ms * kj::MILLISECONDS, connecting.attach(kj::mv(parsed)));
-        })
-        .then([&it, &timer](kj::Own<kj::AsyncIoStream> stream) {
-            const int one = 1;
-            stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-            it.link->address = it.address;
-            it.link->connection = std::make_unique<RpcConnection>(timer, kj::mv(stream), RpcConnection::End::Client, nullptr);
-            return greet(it);
-        })
+    const int one = 1;
+    stream->setsockopt(IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    it.link->address = address;
+    it.link->connection = std::make_unique<RpcConnection>(timer, kj::mv(stream), RpcConnection::End::Client, nullptr);
+    return greet(it)
         .exclusiveJoin(timer.afterDelay(proofLimit.ms * kj::MILLISECONDS).then([address]() -> Outcome {
             return base::fail(base::Code::PeerSilent, address.text() + " did not prove itself within " + std::to_string(proofLimit.ms) + " ms");
         }))
@@ -91,6 +92,13 @@
         .attach(kj::mv(greeting));
 }
 
+kj::Promise<base::Result<kj::Own<RpcLink>>> connect(kj::AsyncIoContext& io, const Membership& membership, const base::Address& address, rpc::Role role, base::Duration limit)
+{
+    return dial(io, address, limit)
+        .then([&io, membership, address, role](kj::Own<kj::AsyncIoStream> stream) { return prove(io, membership, address, role, kj::mv(stream)); })
+        .catch_([address](kj::Exception&& problem) -> Outcome { return base::fail(base::Code::PeerGone, address.text() + ": " + describe(problem)); });
+}
+
 kj::Promise<base::Error> whenOver(RpcLink& link)
 {
     return link.connection->ended().exclusiveJoin(link.connection->beat(link.session));
--- a/src/appletally/inner/rpc_link.h
+++ b/src/appletally/inner/rpc_link.h
@@ -3,6 +3,7 @@
 
 #include "appletally/inner/cluster_key.h"
 #include "appletally/inner/rpc_connection.h"
+#include "appletally/inner/rpc_limits.h"
 
 namespace appletally::inner {
 
@@ -13,9 +14,13 @@
     rpc::Session::Client session = nullptr; // cast to the interface of the role
 };
 
-// Never rejects. Errors: PeerGone (cannot be reached), PeerSilent (no connection within connectLimit, no proof within proofLimit), WrongCluster, WrongKey
-// (this side's or the peer's), or what the peer refuses with.
-kj::Promise<base::Result<kj::Own<RpcLink>>> connect(kj::AsyncIoContext&, const Membership&, const base::Address&, rpc::Role);
+// Neither rejects. Errors: PeerGone (cannot be reached), PeerSilent (no connection within `limit`, no proof within proofLimit of the
+// connection), WrongCluster, WrongKey (this side's or the peer's), or what the peer refuses with.
+kj::Promise<base::Result<kj::Own<RpcLink>>> connect(kj::AsyncIoContext&, const Membership&, const base::Address&, rpc::Role, base::Duration limit = connectLimit);
+kj::Promise<base::Result<kj::Own<RpcLink>>> prove(kj::AsyncIoContext&, const Membership&, const base::Address&, rpc::Role, kj::Own<kj::AsyncIoStream>);
+
+// The connection alone. Rejects.
+kj::Promise<kj::Own<kj::AsyncIoStream>> dial(kj::AsyncIoContext&, const base::Address&, base::Duration limit);
 
 // Resolves once the link is over, with why. The link must outlive the promise.
 kj::Promise<base::Error> whenOver(RpcLink&);
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -82,6 +82,7 @@
     , m_timer(io.provider->getTimer())
     , m_settings(std::move(settings))
     , m_hooks(std::move(hooks))
+    , m_tries(kj::heap<kj::TaskSet>(*this))
     , m_started(base::wallNow())
     , m_linkTasks(kj::heap<kj::TaskSet>(*this))
 {
@@ -101,24 +102,23 @@
 void SourceClient::addSources(const std::vector<base::Address>& sources)
 {
     for (const base::Address& it : sources) {
-        const bool known = std::any_of(m_sources.begin(), m_sources.end(), [&](const Candidate& each) { return each.address == it; });
-        if (!known)
-            m_sources.push_back({ it, {}, {}, false });
+        if (std::find(m_sources.begin(), m_sources.end(), it) != m_sources.end())
+            continue;
+        m_sources.push_back(it);
+        m_race.sources.emplace_back();
     }
+    wakeRace();
 }
 
 // --- Links ---
 
 kj::Promise<void> SourceClient::run()
 {
-    if (m_sources.empty())
-        return kj::READY_NOW;
-    choose();
-    const base::Duration wait = std::max(base::Duration {}, m_sources[m_current].notBefore - base::steadyNow());
-    return m_timer.afterDelay(wait.ms * kj::MILLISECONDS)
+    return race()
         .then([this] {
-            ++m_counters.connects;
-            return connect(m_io, m_settings.membership, m_sources[m_current].address, m_settings.role);
+            m_tries = kj::heap<kj::TaskSet>(*this);
+            policy::endRace(m_race);
+            return prove(m_io, m_settings.membership, m_sources[m_current], m_settings.role, kj::mv(m_connected));
         })
         .then([this](base::Result<kj::Own<RpcLink>> linked) -> kj::Promise<base::Error> {
             if (!linked)
@@ -133,17 +133,44 @@
         });
 }
 
-// The one that may be tried first. Among those that may be tried now, any: a herd spreads over all of them.
-void SourceClient::choose()
+kj::Promise<void> SourceClient::race()
 {
+    if (m_connected.get() != nullptr)
+        return kj::READY_NOW;
     const base::Time now = base::steadyNow();
-    const size_t start = randomNumber() % m_sources.size();
-    m_current = start;
-    for (size_t n = 0; n < m_sources.size(); ++n) {
-        const size_t it = (start + n) % m_sources.size();
-        if (std::max(m_sources[it].notBefore, now) < std::max(m_sources[m_current].notBefore, now))
-            m_current = it;
-    }
+    if (const auto source = policy::nextTry(m_race, now, randomNumber()))
+        m_tries->add(attempt(*source));
+    auto wake = kj::newPromiseAndFulfiller<void>();
+    m_wake = kj::mv(wake.fulfiller);
+    const base::Duration wait = std::max(base::Duration { 1 }, policy::nextLook(m_race, now) - now);
+    return wake.promise.exclusiveJoin(m_timer.afterDelay(wait.ms * kj::MILLISECONDS)).then([this] { return race(); });
+}
+
+kj::Promise<void> SourceClient::attempt(size_t source)
+{
+    ++m_counters.connects;
+    return dial(m_io, m_sources[source], patientConnectLimit)
+        .then(
+            [this, source](kj::Own<kj::AsyncIoStream> stream) {
+                m_connected = kj::mv(stream);
+                m_current = source;
+            },
+            [this, source](kj::Exception&&) { sourceFailed(source, std::nullopt); })
+        .then([this] { wakeRace(); });
+}
+
+void SourceClient::wakeRace()
+{
+    if (m_wake.get() != nullptr)
+        m_wake->fulfill();
+}
+
+void SourceClient::sourceFailed(size_t source, std::optional<base::Duration> told)
+{
+    m_race.sources[source].backoff.urgent = !m_applied.inForce;
+    policy::tryFailed(m_race, source, told, base::steadyNow(), randomNumber());
+    if (++m_failures >= failuresUntilLost)
+        setReachable(false);
 }
 
 kj::Promise<base::Error> SourceClient::use()
@@ -161,7 +188,7 @@
     auto ask = m_link->session.castAs<rpc::Source>().subscribeRequest();
     ask.setHave(heldVersion(m_applied).value);
     write(ask.initCursor(), m_mirror.cursor);
-    ask.setPromised(m_sources[m_current].promised);
+    ask.setPromised(m_race.sources[m_current].promised);
     ask.setFeed(kj::heap<FeedServer>(*this, m_generation));
     return ask.send().then([this](auto&& answer) -> kj::Promise<void> {
         if (failed(answer.getFailure())) {
@@ -175,7 +202,7 @@
         m_subscribed = true;
         m_linkedSince = base::steadyNow();
         m_failures = 0;
-        policy::succeeded(m_sources[m_current].backoff);
+        policy::succeeded(m_race.sources[m_current].backoff);
         setReachable(true);
         m_endpointsDirty = !m_endpoints.empty();
         m_inForceDirty = m_inForce.has_value();
@@ -211,12 +238,7 @@
     m_linkTasks = kj::heap<kj::TaskSet>(*this);
     ++m_generation;
     m_link = nullptr;
-    Candidate& source = m_sources[m_current];
-    source.promised = m_comeBack.has_value();
-    source.backoff.urgent = !m_applied.inForce;
-    source.notBefore = base::steadyNow() + policy::waitAfterFailure(source.backoff, std::exchange(m_comeBack, std::nullopt), randomNumber());
-    if (++m_failures >= failuresUntilLost)
-        setReachable(false);
+    sourceFailed(m_current, std::exchange(m_comeBack, std::nullopt));
 }
 
 void SourceClient::setReachable(bool reachable)
--- a/src/appletally/inner/source_client.h
+++ b/src/appletally/inner/source_client.h
@@ -13,7 +13,7 @@
 #include "appletally/config/endpoint_mirror.h"
 #include "appletally/inner/rpc_link.h"
 #include "appletally/inner/rpc_wire.h"
-#include "appletally/policy/reconnect.h"
+#include "appletally/policy/source_race.h"
 
 #include <functional>
 #include <map>
@@ -75,7 +75,11 @@
     using EvidenceKey = std::tuple<base::Incarnation, base::ServiceName, base::RouteName, base::UpstreamVersion>;
 
     void taskFailed(kj::Exception&&) override;
-    kj::Promise<void> run(); // for ever: link, use, wait
+    kj::Promise<void> run(); // for ever: connect, use, wait
+    kj::Promise<void> race(); // until m_connected is set
+    kj::Promise<void> attempt(size_t source);
+    void wakeRace();
+    void sourceFailed(size_t source, std::optional<base::Duration> told);
     kj::Promise<base::Error> use();
     kj::Promise<void> subscribe();
     kj::Promise<void> proveBoot();
@@ -89,21 +93,18 @@
     void sendReport();
     NodeReport dirtyReport();
     void setReachable(bool);
-    void choose();
 
     kj::AsyncIoContext& m_io;
     kj::Timer& m_timer;
     SourceClientSettings m_settings;
     SourceClientHooks m_hooks;
     SourceClientCounters m_counters;
-    struct Candidate {
-        base::Address address;
-        policy::Backoff backoff;
-        base::Time notBefore;
-        bool promised = false; // it named the moment notBefore itself
-    };
-    std::vector<Candidate> m_sources;
-    size_t m_current = 0; // candidate in use or being tried
+    std::vector<base::Address> m_sources;
+    policy::SourceRace m_race; // one entry for each of m_sources
+    kj::Own<kj::TaskSet> m_tries;
+    kj::Own<kj::PromiseFulfiller<void>> m_wake; // of the race, when a try ends or a source is named
+    kj::Own<kj::AsyncIoStream> m_connected; // won the race; null: none
+    size_t m_current = 0; // of m_sources, in use
     uint64_t m_failures = 0; // in a row, over all sources
     bool m_reachable = false;
     std::optional<base::Duration> m_comeBack; // as the source asked
