Names of the boot proof and of the links between control processes say what they are

BootReads::word, voterLinks (all links, where members find each other) and everythingOwn made a newcomer ask. No behaviour changes; the control and distribution tests pass.

--- a/src/appletally/control/boot_reads.cpp
+++ b/src/appletally/control/boot_reads.cpp
@@ -33,7 +33,7 @@
     m_running = true;
     const uint64_t round = ++m_rounds;
     m_served = std::exchange(m_waiting, {});
-    m_words.clear();
+    m_answers.clear();
     m_asked.clear();
     m_tasks.add(m_timer.afterDelay(roundLimit.ms * kj::MILLISECONDS).then([this, round] {
         finish(round, base::fail(base::Code::NoQuorum, "no majority of the voters answered"));
@@ -45,15 +45,15 @@
 void BootReads::askOthers(uint64_t round)
 {
     if (const auto own = m_own())
-        word(round, *own);
+        addAnswer(round, *own);
     if (!m_running || round != m_rounds)
         return;
     for (PeerLink* it : m_voters()) {
         if (!it->up() || !m_asked.insert(it->host()).second)
             continue;
         m_tasks.add(it->recorded().then([this, round](RecordedAnswer answer) {
-            if (answer.word)
-                word(round, *answer.word);
+            if (answer.boot)
+                addAnswer(round, *answer.boot);
         }));
     }
     m_tasks.add(m_timer.afterDelay(askOthersEvery.ms * kj::MILLISECONDS).then([this, round] {
@@ -62,14 +62,14 @@
     }));
 }
 
-void BootReads::word(uint64_t round, const consensus::BootAnswer& answer)
+void BootReads::addAnswer(uint64_t round, const consensus::BootAnswer& answer)
 {
     if (!m_running || round != m_rounds)
         return;
-    m_words.push_back(answer);
-    if (const auto released = consensus::provenReleased(m_words))
+    m_answers.push_back(answer);
+    if (const auto released = consensus::provenReleased(m_answers))
         m_released(*released);
-    if (const auto proven = consensus::provenBoot(m_words))
+    if (const auto proven = consensus::provenBoot(m_answers))
         finish(round, *proven);
 }
 
--- a/src/appletally/control/boot_reads.h
+++ b/src/appletally/control/boot_reads.h
@@ -11,7 +11,7 @@
 
 class BootReads : public kj::TaskSet::ErrorHandler {
 public:
-    // `own`: this process's own word, empty where it is no voter. `released`: told what the answers show to be released.
+    // `own`: this process's own answer, empty where it is no voter. `released`: told what the answers show to be released.
     BootReads(kj::Timer&, std::function<std::vector<PeerLink*>()> voters, std::function<std::optional<consensus::BootAnswer>()> own, std::function<void(base::LogIndex)> released);
 
     // The least log index to start from, proved by a majority of the voters asked after this call. NoQuorum.
@@ -25,14 +25,14 @@
     void taskFailed(kj::Exception&&) override { }
     void begin();
     void askOthers(uint64_t round);
-    void word(uint64_t round, const consensus::BootAnswer&);
+    void addAnswer(uint64_t round, const consensus::BootAnswer&);
     void finish(uint64_t round, const base::Result<base::LogIndex>&);
 
     kj::Timer& m_timer;
     std::function<std::vector<PeerLink*>()> m_voters;
     std::function<std::optional<consensus::BootAnswer>()> m_own;
     std::function<void(base::LogIndex)> m_released;
-    std::vector<consensus::BootAnswer> m_words; // of the round under way
+    std::vector<consensus::BootAnswer> m_answers; // of the round under way
     std::set<base::HostId> m_asked; // in the round under way
     std::vector<Waiter> m_served; // by the round under way
     std::vector<Waiter> m_waiting; // came after it began: its answers may be older than they are
--- a/src/appletally/control/duties.cpp
+++ b/src/appletally/control/duties.cpp
@@ -103,7 +103,7 @@
     if (m_changingMembers)
         return;
     const consensus::Members& members = consensus::latestMembers(m_replica->replica());
-    for (PeerLink* it : voterLinks()) {
+    for (PeerLink* it : possibleVoters()) {
         // Where hosts are known by their addresses, an empty folder at a voter's address says that the old one is lost:
         // nothing else can listen there.
         const bool known = std::any_of(members.list.begin(), members.list.end(), [&](const consensus::Member& member) {
--- a/src/appletally/control/peer_link.cpp
+++ b/src/appletally/control/peer_link.cpp
@@ -69,7 +69,7 @@
         policy::succeeded(m_backoff);
         m_connects = 0;
         base::logEvent(base::Event::LinkUp, m_peer.host.text + " at " + m_peer.address.text());
-        m_pending = m_hooks.everything();
+        m_pending = m_hooks.ownReports();
         sendShare();
         m_hooks.up(m_peer.host);
     });
@@ -140,7 +140,7 @@
             return out;
         auto meta = consensus::decodeMeta(inner::bytes(answer.getMeta()));
         if (meta)
-            out.word = consensus::BootAnswer { out.replica, meta.value().index, meta.value().members };
+            out.boot = consensus::BootAnswer { out.replica, meta.value().index, meta.value().members };
         return out;
     });
 }
--- a/src/appletally/control/peer_link.h
+++ b/src/appletally/control/peer_link.h
@@ -23,15 +23,15 @@
     std::string text; // rollout id, or what else there is to say
 };
 
-// A replica's word for a boot proof. Not a voter: `word` is empty, the id is still told.
+// A replica's answer for a boot proof. Not a voter: `boot` is empty, the id is still told.
 struct RecordedAnswer {
     base::ReplicaId replica;
-    std::optional<consensus::BootAnswer> word;
+    std::optional<consensus::BootAnswer> boot;
 };
 
 struct PeerHooks {
     std::function<void(const base::HostId&)> up; // once its replica is known
-    std::function<PendingReport()> everything; // what a peer that has just come must be told
+    std::function<PendingReport()> ownReports; // what a peer that has just come must be told
 };
 
 class PeerLink : public kj::TaskSet::ErrorHandler {
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -75,7 +75,7 @@
     for (const base::Address& it : m_settings.seeds)
         learnPeer({ it.text() });
     m_bootReads = std::make_unique<BootReads>(
-        m_timer, [this] { return voterLinks(); }, [this]() -> std::optional<consensus::BootAnswer> { return m_replica && !m_replica->stopped() ? consensus::bootAnswer(m_replica->replica()) : std::nullopt; },
+        m_timer, [this] { return possibleVoters(); }, [this]() -> std::optional<consensus::BootAnswer> { return m_replica && !m_replica->stopped() ? consensus::bootAnswer(m_replica->replica()) : std::nullopt; },
         [this](base::LogIndex it) {
             if (m_replica)
                 releasedUpTo(it);
@@ -86,7 +86,7 @@
 {
     if (peer.host == m_settings.membership.host)
         return;
-    const PeerHooks hooks { [](const base::HostId&) {}, [this] { return everythingOwn(); } };
+    const PeerHooks hooks { [](const base::HostId&) {}, [this] { return ownReports(); } };
     m_peers.push_back(std::make_unique<PeerLink>(m_io, m_settings.membership, peer, hooks));
 }
 
@@ -118,12 +118,12 @@
     m_distributor.setSources(std::move(sources));
 }
 
-std::vector<PeerLink*> ControlProcess::voterLinks()
+std::vector<PeerLink*> ControlProcess::possibleVoters()
 {
     std::vector<PeerLink*> out;
     for (const auto& it : m_peers) {
         if (findsPeers())
-            out.push_back(it.get()); // whether it votes, the log's members say
+            out.push_back(it.get());
     }
     for (const auto& it : m_peers) {
         for (const ControlPeer& voter : m_settings.voters) {
@@ -347,7 +347,7 @@
         if (m_replica)
             return released(index.value());
         // A relay knows versions, not log indexes: a voter turns one into the other.
-        for (PeerLink* it : voterLinks()) {
+        for (PeerLink* it : possibleVoters()) {
             if (!it->up())
                 continue;
             return it->released(index.value()).then([this](Answer version) -> kj::Promise<Answer> {
@@ -407,6 +407,6 @@
     onEvidence(m_rollouts, m_state, report.evidence);
 }
 
-PendingReport ControlProcess::everythingOwn() const { return m_own; }
+PendingReport ControlProcess::ownReports() const { return m_own; }
 
 } // namespace appletally::control
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -73,7 +73,7 @@
     };
 
     void taskFailed(kj::Exception&&) override;
-    std::vector<PeerLink*> voterLinks();
+    std::vector<PeerLink*> possibleVoters(); // with seeds all peers; which of them vote, the members say
     bool findsPeers() const { return !m_settings.seeds.empty(); }
     void learnPeer(const base::HostId&); // whose name is its address
     void learnMembers();
@@ -98,7 +98,7 @@
     // Reports
     void take(const inner::NodeReport&);
     inner::NodeReport forPeers(const inner::NodeReport&) const;
-    PendingReport everythingOwn() const;
+    PendingReport ownReports() const;
 
     // Changes
     kj::Promise<ChangeAnswer> proposeHere(config::Command);
