--- a/bench/apply_costs.cpp
+++ b/bench/apply_costs.cpp
@@ -1,9 +1,11 @@
 // What one change of an operator's document costs a control process, by the number of routes: applying it, and writing the
 // state's bytes as a snapshot of the log does. A restart applies all changes since the last snapshot before it serves, so
-// the two together say how often a snapshot pays.
+// the two together say how often a snapshot pays. Also times each step of processing a first document and a change of ten
+// routes, at the leader, a follower and a node.
 //
 // Use: apply-costs
 #include "appletally/config/state_machine.h"
+#include "appletally/inner/content.h"
 
 #include <chrono>
 #include <cstdio>
@@ -71,9 +73,61 @@
     std::printf("%6d routes: %8.0f us a change, %8.0f us to write the state (%zu bytes), %8.0f us to read it%s\n", routes, each, writing, bytes.size(), microsSince(decoding), read ? "" : " (failed)");
 }
 
+struct StepTime {
+    const char* name;
+    double micros;
+};
+
+static std::vector<StepTime> timeSteps(State& state, const Document& document)
+{
+    std::vector<StepTime> out;
+    auto start = std::chrono::steady_clock::now();
+    const auto recordStep = [&](const char* name) {
+        out.push_back({ name, microsSince(start) });
+        start = std::chrono::steady_clock::now();
+    };
+    const Command command = SubmitDocument { document.id, changeFrom(state.document.texts, document), { 1 } };
+    recordStep("compute the change");
+    const std::string bytes = encodeForLog(command);
+    recordStep("encode the command");
+    const auto decoded = decodeCommand(bytes);
+    recordStep("decode the command");
+    const Snapshot before = state.snapshot;
+    start = std::chrono::steady_clock::now();
+    apply(state, { document.id.number.value }, decoded.value());
+    recordStep("apply the command");
+    const inner::ContentPiece full = inner::makePiece(state.snapshot, nullptr);
+    recordStep("encode snapshot for nodes");
+    if (before.version.value != 0)
+        inner::makePiece(state.snapshot, &before);
+    recordStep("encode delta for nodes");
+    Applied node;
+    if (!inner::apply(node, full))
+        std::printf("the node refused the snapshot\n");
+    recordStep("apply snapshot at a node");
+    encode(state);
+    recordStep("encode the state");
+    return out;
+}
+
+static void measureSteps(int routes)
+{
+    State state;
+    const std::vector<StepTime> first = timeSteps(state, documentOf(routes, 1));
+    Document changed = documentOf(routes, 2);
+    for (int n = 1; n < 10; ++n)
+        changed.routes.at({ "route-" + std::to_string(n) }).text += "changed";
+    const std::vector<StepTime> second = timeSteps(state, changed);
+    std::printf("%6d routes, us: first document; ten routes changed\n", routes);
+    for (size_t n = 0; n < first.size(); ++n)
+        std::printf("    %-28s %8.0f %8.0f\n", first[n].name, first[n].micros, second[n].micros);
+}
+
 int main()
 {
     for (const int routes : { 10, 100, 300, 1000 })
         measure(routes);
+    for (const int routes : { 300, 1200, 3000, 10000 })
+        measureSteps(routes);
     return 0;
 }
--- a/bench/light_nodes.cpp
+++ b/bench/light_nodes.cpp
@@ -120,7 +120,7 @@
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    base::JsonReader top(json.value(), file, "", problem);
+    base::JsonReader top(json.value(), file, problem);
     BenchSettings out;
     out.membership.cluster.text = top.text("cluster");
     auto key = inner::parseClusterKey(top.text("key"));
--- a/src/appletally/base/json_reader.cpp
+++ b/src/appletally/base/json_reader.cpp
@@ -4,87 +4,146 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <fstream>
+#include <sstream>
 
 namespace appletally::base {
 
-JsonReader::JsonReader(const Json& value, std::string file, std::string path, ReadProblem& problem)
+namespace {
+
+    constexpr size_t readMaskBits = 64; // width of JsonReader::m_read
+
+    // Paths that are read are much shorter; building those of deeply nested input would take quadratic time.
+    constexpr size_t mostPathBytes = 512;
+
+    struct ValueAndPath {
+        const JsonValue* value = nullptr;
+        std::string path;
+    };
+
+    // Iterative, so that deeply nested input cannot overflow the stack.
+    std::string pathTo(const JsonValue& target, const JsonValue& top)
+    {
+        std::vector<ValueAndPath> pending { { &top, "" } };
+        while (!pending.empty()) {
+            const ValueAndPath current = std::move(pending.back());
+            pending.pop_back();
+            if (current.value == &target)
+                return current.path;
+            if (current.path.size() > mostPathBytes)
+                continue;
+            if (current.value->IsArray()) {
+                for (rapidjson::SizeType n = 0; n < current.value->Size(); ++n)
+                    pending.push_back({ &(*current.value)[n], current.path + "[" + std::to_string(n) + "]" });
+            }
+            if (!current.value->IsObject())
+                continue;
+            for (const auto& it : current.value->GetObject())
+                pending.push_back({ &it.value, (current.path.empty() ? "" : current.path + ".") + it.name.GetString() });
+        }
+        return "";
+    }
+
+    JsonValue::ConstMemberIterator findMember(const JsonValue& object, const std::string& key)
+    {
+        return object.FindMember(JsonValue(rapidjson::StringRef(key.data(), key.size())));
+    }
+
+    std::string textOf(const JsonValue& it) { return { it.GetString(), it.GetStringLength() }; }
+
+    std::string expectedInteger(int64_t least, int64_t most)
+    {
+        return "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+    }
+
+    std::string expectedText(size_t mostBytes) { return "a text of 1 to " + std::to_string(mostBytes) + " bytes"; }
+
+} // namespace
+
+JsonReader::JsonReader(const JsonValue& top, std::string file, ReadProblem& problem)
+    : JsonReader(top, std::make_shared<const Context>(Context { std::move(file), top, problem }))
+{
+}
+
+JsonReader::JsonReader(const JsonValue& value, std::shared_ptr<const Context> context)
     : m_value(&value)
-    , m_file(std::move(file))
-    , m_path(std::move(path))
-    , m_problem(&problem)
+    , m_context(std::move(context))
 {
-    if (!value.is_object())
+    if (!value.IsObject())
         refuse(Code::SettingsWrongType, "", "an object");
 }
 
 void JsonReader::refuse(Code code, const std::string& key, const std::string& expected)
 {
-    if (m_problem->first)
+    if (m_context->problem.first)
         return;
-    const std::string path = key.empty() ? m_path : (m_path.empty() ? key : m_path + "." + key);
-    m_problem->first = fail(code, m_file + ": " + (path.empty() ? "(top)" : path) + ": expected " + expected);
+    const std::string valuePath = pathTo(*m_value, m_context->top);
+    const std::string path = key.empty() ? valuePath : (valuePath.empty() ? key : valuePath + "." + key);
+    m_context->problem.first = fail(code, m_context->file + ": " + (path.empty() ? "(top)" : path) + ": expected " + expected);
 }
 
-bool JsonReader::has(const std::string& key) const { return m_value->is_object() && m_value->contains(key); }
+bool JsonReader::has(const std::string& key) const { return m_value->IsObject() && findMember(*m_value, key) != m_value->MemberEnd(); }
 
-const Json* JsonReader::find(const std::string& key)
+const JsonValue* JsonReader::find(const std::string& key)
 {
-    m_read.insert(key);
-    return has(key) ? &(*m_value)[key] : nullptr;
+    if (!m_value->IsObject())
+        return nullptr;
+    const auto it = findMember(*m_value, key);
+    if (it == m_value->MemberEnd())
+        return nullptr;
+    const auto index = static_cast<size_t>(it - m_value->MemberBegin());
+    if (index < readMaskBits)
+        m_read |= uint64_t { 1 } << index;
+    else
+        m_readOverflow.insert(index);
+    return &it->value;
 }
 
-const Json* JsonReader::require(const std::string& key, const std::string& expected)
+bool JsonReader::wasRead(size_t index) const
 {
-    const Json* it = find(key);
-    if (!it)
-        refuse(Code::SettingsMissingKey, key, expected);
-    return it;
+    return index < readMaskBits ? (m_read >> index & 1) != 0 : m_readOverflow.contains(index);
 }
 
 std::string JsonReader::text(const std::string& key, size_t mostBytes)
 {
-    const std::string expected = "a text of 1 to " + std::to_string(mostBytes) + " bytes";
-    const Json* it = require(key, expected);
-    if (!it)
+    const JsonValue* it = find(key);
+    if (!it) {
+        refuse(Code::SettingsMissingKey, key, expectedText(mostBytes));
         return {};
-    if (!it->is_string()) {
-        refuse(Code::SettingsWrongType, key, expected);
+    }
+    if (!it->IsString()) {
+        refuse(Code::SettingsWrongType, key, expectedText(mostBytes));
         return {};
     }
-    auto text = it->get<std::string>();
-    if (text.empty() || text.size() > mostBytes)
-        refuse(Code::SettingsOutOfRange, key, expected);
-    return text;
+    if (it->GetStringLength() == 0 || it->GetStringLength() > mostBytes)
+        refuse(Code::SettingsOutOfRange, key, expectedText(mostBytes));
+    return textOf(*it);
 }
 
 std::string JsonReader::text(const std::string& key, const std::string& fallback, size_t mostBytes)
 {
-    return find(key) ? text(key, mostBytes) : fallback;
+    return has(key) ? text(key, mostBytes) : fallback;
 }
 
 int64_t JsonReader::integer(const std::string& key, int64_t least, int64_t most)
 {
-    const std::string expected = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
-    const Json* it = require(key, expected);
-    if (!it)
-        return least;
-    if (!it->is_number_integer()) {
-        refuse(Code::SettingsWrongType, key, expected);
+    const JsonValue* it = find(key);
+    if (!it) {
+        refuse(Code::SettingsMissingKey, key, expectedInteger(least, most));
         return least;
     }
-    if (it->is_number_unsigned() && it->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX)) {
-        refuse(Code::SettingsOutOfRange, key, expected);
+    if (!it->IsInt64()) {
+        refuse(it->IsUint64() ? Code::SettingsOutOfRange : Code::SettingsWrongType, key, expectedInteger(least, most));
         return least;
     }
-    const auto n = it->get<int64_t>();
+    const int64_t n = it->GetInt64();
     if (n < least || n > most)
-        refuse(Code::SettingsOutOfRange, key, expected);
+        refuse(Code::SettingsOutOfRange, key, expectedInteger(least, most));
     return n;
 }
 
 int64_t JsonReader::integer(const std::string& key, int64_t least, int64_t most, int64_t fallback)
 {
-    return find(key) ? integer(key, least, most) : fallback;
+    return has(key) ? integer(key, least, most) : fallback;
 }
 
 Duration JsonReader::duration(const std::string& key, Duration least, Duration most, Duration fallback)
@@ -94,14 +153,14 @@
 
 bool JsonReader::flag(const std::string& key, bool fallback)
 {
-    const Json* it = find(key);
+    const JsonValue* it = find(key);
     if (!it)
         return fallback;
-    if (!it->is_boolean()) {
+    if (!it->IsBool()) {
         refuse(Code::SettingsWrongType, key, "true or false");
         return fallback;
     }
-    return it->get<bool>();
+    return it->GetBool();
 }
 
 Address JsonReader::address(const std::string& key)
@@ -116,19 +175,19 @@
 std::vector<std::string> JsonReader::texts(const std::string& key)
 {
     std::vector<std::string> out;
-    const Json* it = find(key);
+    const JsonValue* it = find(key);
     if (!it)
         return out;
-    if (!it->is_array()) {
+    if (!it->IsArray()) {
         refuse(Code::SettingsWrongType, key, "a list of texts");
         return out;
     }
-    for (const Json& entry : *it) {
-        if (!entry.is_string() || entry.get_ref<const std::string&>().empty()) {
+    for (const JsonValue& entry : it->GetArray()) {
+        if (!entry.IsString() || entry.GetStringLength() == 0) {
             refuse(Code::SettingsWrongType, key + "[" + std::to_string(out.size()) + "]", "a text that is not empty");
             return out;
         }
-        out.push_back(entry.get<std::string>());
+        out.push_back(textOf(entry));
     }
     return out;
 }
@@ -136,63 +195,78 @@
 std::vector<JsonReader> JsonReader::objects(const std::string& key)
 {
     std::vector<JsonReader> out;
-    const Json* it = find(key);
+    const JsonValue* it = find(key);
     if (!it)
         return out;
-    if (!it->is_array()) {
+    if (!it->IsArray()) {
         refuse(Code::SettingsWrongType, key, "a list of objects");
         return out;
     }
-    const std::string base = m_path.empty() ? key : m_path + "." + key;
-    for (const Json& entry : *it)
-        out.emplace_back(entry, m_file, base + "[" + std::to_string(out.size()) + "]", *m_problem);
+    out.reserve(it->Size());
+    for (const JsonValue& entry : it->GetArray())
+        out.push_back(JsonReader(entry, m_context));
     return out;
 }
 
 JsonReader JsonReader::object(const std::string& key)
 {
-    static const Json empty = Json::object();
-    const Json* it = require(key, "an object");
-    return { it ? *it : empty, m_file, m_path.empty() ? key : m_path + "." + key, *m_problem };
+    static const JsonValue empty(rapidjson::kObjectType);
+    const JsonValue* it = find(key);
+    if (!it)
+        refuse(Code::SettingsMissingKey, key, "an object");
+    return { it ? *it : empty, m_context };
 }
 
 size_t JsonReader::choice(const std::string& key, const std::vector<std::string>& choices, std::optional<size_t> fallback)
 {
-    std::string expected = "one of";
-    for (const std::string& it : choices)
-        expected += " " + it;
-    const Json* it = find(key);
+    const JsonValue* it = find(key);
     if (!it && fallback)
         return *fallback;
-    if (it && it->is_string()) {
+    if (it && it->IsString()) {
+        const std::string_view text(it->GetString(), it->GetStringLength());
         for (size_t n = 0; n < choices.size(); ++n) {
-            if (it->get_ref<const std::string&>() == choices[n])
+            if (text == choices[n])
                 return n;
         }
     }
+    std::string expected = "one of";
+    for (const std::string& choice : choices)
+        expected += " " + choice;
     refuse(it ? Code::SettingsOutOfRange : Code::SettingsMissingKey, key, expected);
     return 0;
 }
 
 void JsonReader::finish()
 {
-    if (!m_value->is_object())
+    if (!m_value->IsObject())
         return;
-    for (const auto& [key, value] : m_value->items()) {
-        if (!m_read.contains(key))
-            refuse(Code::SettingsUnknownKey, key, "no such key");
+    size_t index = 0;
+    for (const auto& it : m_value->GetObject()) {
+        if (!wasRead(index++))
+            refuse(Code::SettingsUnknownKey, it.name.GetString(), "no such key");
     }
 }
 
-Result<Json> readJsonFile(const std::string& file)
+Result<JsonDocument> parseJson(std::string_view bytes)
+{
+    JsonDocument out;
+    out.Parse<rapidjson::kParseFullPrecisionFlag | rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag>(bytes.data(), bytes.size());
+    if (out.HasParseError())
+        return fail(Code::MessageMalformed, "not JSON");
+    return out;
+}
+
+Result<JsonDocument> readJsonFile(const std::string& file)
 {
     std::ifstream in(file, std::ios::binary);
     if (!in)
         return fail(Code::SettingsUnreadable, file + ": (top): expected a readable file");
-    Json value = Json::parse(in, nullptr, false);
-    if (value.is_discarded())
+    std::stringstream bytes;
+    bytes << in.rdbuf();
+    auto out = parseJson(bytes.str());
+    if (!out)
         return fail(Code::SettingsUnreadable, file + ": (top): expected JSON");
-    return value;
+    return out;
 }
 
 Result<Address> parseAddress(const std::string& text)
--- a/src/appletally/base/json_reader.h
+++ b/src/appletally/base/json_reader.h
@@ -9,15 +9,20 @@
 #include "appletally/base/ids.h"
 #include "appletally/base/result.h"
 
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <rapidjson/document.h>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace appletally::base {
 
-using Json = nlohmann::json;
+using Json = nlohmann::json; // for building and serializing
+using JsonDocument = rapidjson::Document; // parsed input for JsonReader; faster to parse than Json
+using JsonValue = rapidjson::Value;
 
 // The first problem met, shared by a reader and its children. Later reads return defaults and change nothing.
 struct ReadProblem {
@@ -26,8 +31,8 @@
 
 class JsonReader {
 public:
-    // `value` and `problem` must outlive the reader. `file` and `path` are for messages.
-    JsonReader(const Json& value, std::string file, std::string path, ReadProblem& problem);
+    // `top` and `problem` must outlive the reader. `file` is used in error messages.
+    JsonReader(const JsonValue& top, std::string file, ReadProblem& problem);
 
     bool has(const std::string& key) const;
     std::string text(const std::string& key, size_t mostBytes = 4096); // required, not empty
@@ -48,20 +53,29 @@
     void finish();
 
     void refuse(Code, const std::string& key, const std::string& expected); // for checks of the caller's own
-    const std::string& path() const { return m_path; }
 
 private:
-    const Json* find(const std::string& key);
-    const Json* require(const std::string& key, const std::string& expected);
+    // Shared by a reader and its children. The path of a value is computed from `top` only when an error is reported.
+    struct Context {
+        std::string file;
+        const JsonValue& top;
+        ReadProblem& problem;
+    };
 
-    const Json* m_value;
-    std::string m_file;
-    std::string m_path;
-    ReadProblem* m_problem;
-    std::set<std::string> m_read;
+    JsonReader(const JsonValue&, std::shared_ptr<const Context>);
+    const JsonValue* find(const std::string& key);
+    bool wasRead(size_t index) const;
+
+    const JsonValue* m_value;
+    std::shared_ptr<const Context> m_context;
+    uint64_t m_read = 0; // bit n is set once member n has been read
+    std::set<size_t> m_readOverflow; // indexes of read members that do not fit in m_read
 };
 
-Result<Json> readJsonFile(const std::string& file);
+// Fails with MessageMalformed unless `bytes` is a single JSON value in UTF-8. Parses iteratively, so deep nesting cannot
+// overflow the stack.
+Result<JsonDocument> parseJson(std::string_view bytes);
+Result<JsonDocument> readJsonFile(const std::string& file);
 Result<Address> parseAddress(const std::string& text);
 
 } // namespace appletally::base
--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -10,6 +10,10 @@
 using base::Code;
 using base::Json;
 using base::JsonReader;
+using base::JsonWriter;
+using base::writeKey;
+using base::writeMember;
+using base::writeRawMember;
 
 namespace {
 
@@ -39,6 +43,25 @@
         return out;
     }
 
+    template <typename T>
+    void writeAsRawJson(JsonWriter& out, const T& it)
+    {
+        const std::string json = encode(toJson(it));
+        out.RawValue(json.data(), json.size(), rapidjson::kObjectType);
+    }
+
+    void write(JsonWriter& out, const Rollout& it) { writeAsRawJson(out, it); }
+
+    template <typename Key, typename Value>
+    void writeValues(JsonWriter& out, const char* key, const std::map<Key, Value>& map)
+    {
+        writeKey(out, key);
+        out.StartArray();
+        for (const auto& [name, value] : map)
+            write(out, value);
+        out.EndArray();
+    }
+
     template <typename Key, typename Value>
     Json valuesToJson(const std::map<Key, Value>& map)
     {
@@ -48,6 +71,15 @@
         return out;
     }
 
+    template <typename T>
+    std::string encodeStreaming(const T& it)
+    {
+        base::JsonBuffer buf;
+        JsonWriter out(buf);
+        write(out, it);
+        return base::textOf(buf);
+    }
+
     // Each kind has a seed of its own, or a service and a route of the same bytes would count as the same.
     enum HashSeed : uint8_t { ServiceSeed = 1,
         RouteSeed,
@@ -56,13 +88,18 @@
         PaceSeed,
         LimitsSeed };
 
+    uint64_t hashOf(std::string_view bytes, HashSeed seed) { return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed); }
+
     template <typename T>
     uint64_t partHash(const T& it, HashSeed seed)
     {
-        const std::string bytes = encode(toJson(it));
-        return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+        return hashOf(encode(toJson(it)), seed);
     }
 
+    uint64_t partHash(const Route& it, HashSeed seed) { return hashOf(encodeStreaming(it), seed); }
+
+    uint64_t partHash(const Service& it, HashSeed seed) { return hashOf(encodeStreaming(it), seed); }
+
     template <typename Key, typename Value>
     uint64_t sumOf(const std::map<Key, Value>& map, HashSeed seed)
     {
@@ -101,15 +138,28 @@
 
 } // namespace
 
-Json toJson(const Service& it)
+void write(JsonWriter& out, const Service& it)
 {
-    Json versions = Json::array();
-    for (const VersionShare& share : it.versions)
-        versions.push_back({ { "version", share.version.text }, { "share", share.share.value } });
-    return { { "name", it.name.text }, { "depends_on", namesToJson(it.dependsOn) }, { "slots", it.slots },
-        { "connections", it.mostConnections }, { "versions", versions }, { "retry_budget", it.retryBudget.value } };
+    out.StartObject();
+    writeMember(out, "connections", int64_t { it.mostConnections });
+    writeNames(out, "depends_on", it.dependsOn);
+    writeMember(out, "name", it.name.text);
+    writeMember(out, "retry_budget", int64_t { it.retryBudget.value });
+    writeMember(out, "slots", int64_t { it.slots });
+    writeKey(out, "versions");
+    out.StartArray();
+    for (const VersionShare& share : it.versions) {
+        out.StartObject();
+        writeMember(out, "share", int64_t { share.share.value });
+        writeMember(out, "version", share.version.text);
+        out.EndObject();
+    }
+    out.EndArray();
+    out.EndObject();
 }
 
+Json toJson(const Service& it) { return Json::parse(encodeStreaming(it)); }
+
 Service readService(JsonReader it)
 {
     Service out;
@@ -126,23 +176,48 @@
     return out;
 }
 
+static void writeSplits(JsonWriter& out, const std::vector<RouteSplit>& splits)
+{
+    writeKey(out, "splits");
+    out.StartArray();
+    for (const RouteSplit& it : splits) {
+        out.StartObject();
+        writeMember(out, "service", it.service.text);
+        writeMember(out, "weight", int64_t { it.weight });
+        out.EndObject();
+    }
+    out.EndArray();
+}
+
 // What a questionnaire cannot say is left out where it is as by default.
-Json toJson(const Route& it)
+void write(JsonWriter& out, const Route& it)
 {
-    Json out = { { "name", it.name.text }, { "service", it.service.text }, { "method", it.method }, { "path", it.pathPrefix },
-        { "idempotent", it.idempotent }, { "priority", priorityName(it.priority) }, { "timeout", it.timeout.ms },
-        { "expected", it.expected.ms }, { "body", it.mostRequestBody.count }, { "callers", namesToJson(it.callers) } };
+    static const Route defaults;
+    out.StartObject();
+    if (it.mostAttempts != defaults.mostAttempts)
+        writeMember(out, "attempts", int64_t { it.mostAttempts });
+    writeMember(out, "body", it.mostRequestBody.count);
+    writeNames(out, "callers", it.callers);
+    writeMember(out, "expected", it.expected.ms);
     if (!it.host.empty())
-        out["host"] = it.host;
+        writeMember(out, "host", it.host);
+    writeKey(out, "idempotent");
+    out.Bool(it.idempotent);
+    writeMember(out, "method", it.method);
+    writeMember(out, "name", it.name.text);
+    writeMember(out, "path", it.pathPrefix);
+    writeMember(out, "priority", priorityName(it.priority));
+    writeMember(out, "service", it.service.text);
+    if (!it.splits.empty())
+        writeSplits(out, it.splits);
     if (it.target.ms > 0)
-        out["target"] = it.target.ms;
-    if (it.mostAttempts != Route {}.mostAttempts)
-        out["attempts"] = it.mostAttempts;
-    for (const RouteSplit& split : it.splits)
-        out["splits"].push_back({ { "service", split.service.text }, { "weight", split.weight } });
-    return out;
+        writeMember(out, "target", it.target.ms);
+    writeMember(out, "timeout", it.timeout.ms);
+    out.EndObject();
 }
 
+Json toJson(const Route& it) { return Json::parse(encodeStreaming(it)); }
+
 Route readRoute(JsonReader it)
 {
     Route out;
@@ -247,7 +322,22 @@
 
 std::string encode(const Json& it) { return it.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
-std::string encode(const Snapshot& it) { return encode(toJson(it)); }
+std::string encode(const Snapshot& it)
+{
+    base::JsonBuffer buf;
+    JsonWriter out(buf);
+    out.StartObject();
+    if (!(it.callerLimits == CallerLimits {}))
+        writeRawMember(out, "caller_limits", encode(toJson(it.callerLimits)));
+    writeRawMember(out, "keepers", encode(toJson(it.keepers)));
+    writeRawMember(out, "pace", encode(toJson(it.pace)));
+    writeValues(out, "rollouts", it.rollouts);
+    writeValues(out, "routes", it.routes);
+    writeValues(out, "services", it.services);
+    writeMember(out, "version", it.version.value);
+    out.EndObject();
+    return base::textOf(buf);
+}
 
 base::Result<Json> decodeJson(std::string_view bytes)
 {
@@ -259,20 +349,20 @@
 
 base::Result<Snapshot> decodeSnapshot(std::string_view bytes)
 {
-    auto json = decodeJson(bytes);
+    auto json = base::parseJson(bytes);
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    JsonReader top(json.value(), "snapshot", "", problem);
+    JsonReader top(json.value(), "snapshot", problem);
     Snapshot out;
     out.version.value = static_cast<uint64_t>(top.integer("version", 0, INT64_MAX));
     for (JsonReader& it : top.objects("services")) {
         Service service = readService(it);
-        out.services[service.name] = service;
+        out.services[service.name] = std::move(service);
     }
     for (JsonReader& it : top.objects("routes")) {
         Route route = readRoute(it);
-        out.routes[route.name] = route;
+        out.routes[route.name] = std::move(route);
     }
     for (JsonReader& it : top.objects("rollouts")) {
         Rollout rollout = readRollout(it);
--- a/src/appletally/config/codec.h
+++ b/src/appletally/config/codec.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "appletally/base/json_reader.h"
+#include "appletally/base/json_writer.h"
 #include "appletally/base/result.h"
 #include "appletally/config/endpoint.h"
 #include "appletally/config/evidence.h"
@@ -31,6 +32,10 @@
 base::Json toJson(const Endpoint&);
 base::Json toJson(const Evidence&);
 
+// Writes the same bytes as encode(toJson(it)) without building a JSON tree.
+void write(base::JsonWriter&, const Service&);
+void write(base::JsonWriter&, const Route&);
+
 // The reading side; each reads and finishes the reader. Problems go to the reader.
 Service readService(base::JsonReader);
 Route readRoute(base::JsonReader);
--- a/src/appletally/config/commands.cpp
+++ b/src/appletally/config/commands.cpp
@@ -13,6 +13,9 @@
 
     constexpr size_t mostWhyBytes = 1024;
 
+    // Minimum size in bytes of a command that is compressed in the log; compression saves little on shorter ones.
+    constexpr size_t worthCompressing = 1024;
+
     // In the order of Command's alternatives.
     const std::vector<std::string> kinds = { "submit", "start_rollout", "stop_rollout", "set_share", "take_back", "complete_rollout", "set_keepers", "finish_keepers", "submit_document", "move_traffic" };
 
@@ -68,8 +71,6 @@
 
     Json fields(const FinishKeeperChange& it) { return { { "number", it.number.value }, { "at", it.at.ms } }; }
 
-    Json fields(const SubmitDocument& it) { return { { "id", toJson(it.id) }, { "change", toJson(it.change) }, { "at", it.at.ms } }; }
-
     Json fields(const MoveTraffic& it)
     {
         return { { "service", it.service.text }, { "from", it.from.text }, { "to", it.to.text }, { "within", it.within.ms }, { "at", it.at.ms } };
@@ -152,20 +153,52 @@
 
 } // namespace
 
-std::string encode(const Command& command)
+template <typename Fields>
+static std::string encodeWithKind(const Fields& command, size_t kind)
 {
-    Json out = std::visit([](const auto& it) { return fields(it); }, command);
-    out["kind"] = kinds[command.index()];
+    Json out = fields(command);
+    out["kind"] = kinds[kind];
     return encode(out);
 }
 
+static std::string encodeWithKind(const SubmitDocument& command, size_t kind)
+{
+    base::JsonBuffer buf;
+    base::JsonWriter out(buf);
+    out.StartObject();
+    base::writeMember(out, "at", command.at.ms);
+    base::writeKey(out, "change");
+    write(out, command.change);
+    base::writeRawMember(out, "id", encode(toJson(command.id)));
+    base::writeMember(out, "kind", kinds[kind]);
+    out.EndObject();
+    return base::textOf(buf);
+}
+
+std::string encode(const Command& command)
+{
+    return std::visit([&](const auto& it) { return encodeWithKind(it, command.index()); }, command);
+}
+
+std::string encodeForLog(const Command& command)
+{
+    std::string out = encode(command);
+    return out.size() >= worthCompressing ? compress(out) : out;
+}
+
 base::Result<Command> decodeCommand(std::string_view bytes)
 {
-    auto json = decodeJson(bytes);
+    if (!bytes.starts_with('{')) {
+        auto plain = decompress(bytes);
+        if (!plain)
+            return plain.error();
+        return plain.value().starts_with('{') ? decodeCommand(plain.value()) : base::fail(base::Code::MessageMalformed, "not a command");
+    }
+    auto json = base::parseJson(bytes);
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    JsonReader top(json.value(), "command", "", problem);
+    JsonReader top(json.value(), "command", problem);
     Command out = readCommand(top);
     top.finish();
     if (problem.first)
--- a/src/appletally/config/commands.h
+++ b/src/appletally/config/commands.h
@@ -99,7 +99,8 @@
 using Command = std::variant<SubmitAnswers, StartRollout, StopRollout, SetShare, TakeBack, CompleteRollout, SetKeepers, FinishKeeperChange, SubmitDocument, MoveTraffic>;
 
 std::string encode(const Command&);
-base::Result<Command> decodeCommand(std::string_view bytes); // MessageMalformed
+std::string encodeForLog(const Command&); // compressed if large
+base::Result<Command> decodeCommand(std::string_view bytes); // plain or compressed; MessageMalformed, MessageTooLarge
 
 const OperatorRequest* requestOf(const Command&); // null: not an operator's
 
--- a/src/appletally/config/delta.cpp
+++ b/src/appletally/config/delta.cpp
@@ -9,6 +9,10 @@
 using base::Code;
 using base::Json;
 using base::JsonReader;
+using base::JsonWriter;
+using base::writeKey;
+using base::writeMember;
+using base::writeRawMember;
 
 namespace {
 
@@ -35,13 +39,29 @@
             map.erase(it);
     }
 
+    void write(JsonWriter& out, const Rollout& it)
+    {
+        const std::string json = encode(toJson(it));
+        out.RawValue(json.data(), json.size(), rapidjson::kObjectType);
+    }
+
     template <typename T>
-    Json listToJson(const std::vector<T>& list)
+    void writeUnlessEmpty(JsonWriter& out, const char* key, const std::vector<T>& list)
     {
-        Json out = Json::array();
+        if (list.empty())
+            return;
+        writeKey(out, key);
+        out.StartArray();
         for (const T& it : list)
-            out.push_back(toJson(it));
-        return out;
+            write(out, it);
+        out.EndArray();
+    }
+
+    template <typename T>
+    void writeNamesUnlessEmpty(JsonWriter& out, const char* key, const std::vector<T>& names)
+    {
+        if (!names.empty())
+            writeNames(out, key, names);
     }
 
     template <typename T>
@@ -53,12 +73,6 @@
         return out;
     }
 
-    void putUnlessEmpty(Json& json, const char* key, Json list)
-    {
-        if (!list.empty())
-            json[key] = std::move(list);
-    }
-
     // "slots 10 -> 12, priority read -> lookup"
     std::string describeFields(const Json& from, const Json& to)
     {
@@ -71,28 +85,57 @@
         return out;
     }
 
+    // Stores up to mostLines lines and counts the rest, so that large changes do not build a line for each resource.
+    struct LimitedLines {
+        size_t mostLines = 0;
+        size_t count = 0;
+        std::vector<std::string> kept;
+
+        template <typename MakeLine>
+        void add(MakeLine makeLine)
+        {
+            if (count++ < mostLines)
+                kept.push_back(makeLine());
+        }
+        void append(LimitedLines&& other)
+        {
+            for (std::string& it : other.kept) {
+                if (kept.size() < mostLines)
+                    kept.push_back(std::move(it));
+            }
+            count += other.count;
+        }
+    };
+
     template <typename Key, typename Value>
-    void describe(const char* kind, const std::map<Key, Value>& from, const std::map<Key, Value>& to, std::vector<std::string>& lines)
+    void describe(const char* kind, const std::map<Key, Value>& from, const std::map<Key, Value>& to, LimitedLines& lines)
     {
         const auto nameOf = [kind](const Key& key) { return std::string(kind) + " " + key.text + ": "; };
-        std::vector<std::string> removed;
-        std::vector<std::string> others;
+        LimitedLines removed { lines.mostLines, 0, {} };
+        LimitedLines others { lines.mostLines, 0, {} };
         auto old = from.begin(); // both are in the order of their keys: one walk instead of a look-up for each
         for (const auto& [key, value] : to) {
             for (; old != from.end() && old->first < key; ++old)
-                removed.push_back(nameOf(old->first) + "removed");
+                removed.add([&] { return nameOf(old->first) + "removed"; });
             if (old == from.end() || key < old->first) {
-                others.push_back(nameOf(key) + "added");
+                others.add([&, &key = key] { return nameOf(key) + "added"; });
                 continue;
             }
             if (!(old->second == value))
-                others.push_back(nameOf(key) + describeFields(toJson(old->second), toJson(value)));
+                others.add([&, &key = key, &value = value] { return nameOf(key) + describeFields(toJson(old->second), toJson(value)); });
             ++old;
         }
         for (; old != from.end(); ++old)
-            removed.push_back(nameOf(old->first) + "removed");
-        for (std::vector<std::string>* part : { &removed, &others })
-            lines.insert(lines.end(), part->begin(), part->end());
+            removed.add([&] { return nameOf(old->first) + "removed"; });
+        lines.append(std::move(removed));
+        lines.append(std::move(others));
+    }
+
+    template <typename T>
+    void describeOne(const char* name, const T& from, const T& to, LimitedLines& lines)
+    {
+        if (!(from == to))
+            lines.add([&] { return std::string(name) + ": " + describeFields(toJson(from), toJson(to)); });
     }
 
 } // namespace
@@ -137,30 +180,37 @@
 
 std::string encode(const Delta& it)
 {
+    base::JsonBuffer buf;
+    JsonWriter out(buf);
+    out.StartObject();
+    if (it.callerLimits)
+        writeRawMember(out, "caller_limits", encode(toJson(*it.callerLimits)));
+    writeMember(out, "from", it.from.value);
+    writeNamesUnlessEmpty(out, "gone_rollouts", it.goneRollouts);
+    writeNamesUnlessEmpty(out, "gone_routes", it.goneRoutes);
+    writeNamesUnlessEmpty(out, "gone_services", it.goneServices);
     // The hash takes all 64 bits, more than the checked reader's whole numbers hold: two halves.
-    Json out = { { "from", it.from.value }, { "to", it.to.value }, { "hash_high", it.resultHash >> 32 }, { "hash_low", it.resultHash & UINT32_MAX } };
-    putUnlessEmpty(out, "services", listToJson(it.services));
-    putUnlessEmpty(out, "routes", listToJson(it.routes));
-    putUnlessEmpty(out, "rollouts", listToJson(it.rollouts));
-    putUnlessEmpty(out, "gone_services", namesToJson(it.goneServices));
-    putUnlessEmpty(out, "gone_routes", namesToJson(it.goneRoutes));
-    putUnlessEmpty(out, "gone_rollouts", namesToJson(it.goneRollouts));
+    writeMember(out, "hash_high", it.resultHash >> 32);
+    writeMember(out, "hash_low", it.resultHash & UINT32_MAX);
     if (it.keepers)
-        out["keepers"] = toJson(*it.keepers);
+        writeRawMember(out, "keepers", encode(toJson(*it.keepers)));
     if (it.pace)
-        out["pace"] = toJson(*it.pace);
-    if (it.callerLimits)
-        out["caller_limits"] = toJson(*it.callerLimits);
-    return encode(out);
+        writeRawMember(out, "pace", encode(toJson(*it.pace)));
+    writeUnlessEmpty(out, "rollouts", it.rollouts);
+    writeUnlessEmpty(out, "routes", it.routes);
+    writeUnlessEmpty(out, "services", it.services);
+    writeMember(out, "to", it.to.value);
+    out.EndObject();
+    return base::textOf(buf);
 }
 
 base::Result<Delta> decodeDelta(std::string_view bytes)
 {
-    auto json = decodeJson(bytes);
+    auto json = base::parseJson(bytes);
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    JsonReader top(json.value(), "delta", "", problem);
+    JsonReader top(json.value(), "delta", problem);
     Delta out;
     out.from.value = static_cast<uint64_t>(top.integer("from", 0, INT64_MAX));
     out.to.value = static_cast<uint64_t>(top.integer("to", static_cast<int64_t>(out.from.value), INT64_MAX));
@@ -184,19 +234,18 @@
     return out;
 }
 
-std::vector<std::string> describeDifference(const Snapshot& from, const Snapshot& to)
+std::vector<std::string> describeDifference(const Snapshot& from, const Snapshot& to, size_t mostLines)
 {
-    std::vector<std::string> lines;
+    LimitedLines lines { mostLines, 0, {} };
     describe("service", from.services, to.services, lines);
     describe("route", from.routes, to.routes, lines);
     describe("rollout", from.rollouts, to.rollouts, lines);
-    if (!(from.keepers == to.keepers))
-        lines.push_back("keepers: " + describeFields(toJson(from.keepers), toJson(to.keepers)));
-    if (!(from.pace == to.pace))
-        lines.push_back("pace: " + describeFields(toJson(from.pace), toJson(to.pace)));
-    if (!(from.callerLimits == to.callerLimits))
-        lines.push_back("caller limits: " + describeFields(toJson(from.callerLimits), toJson(to.callerLimits)));
-    return lines;
+    describeOne("keepers", from.keepers, to.keepers, lines);
+    describeOne("pace", from.pace, to.pace, lines);
+    describeOne("caller limits", from.callerLimits, to.callerLimits, lines);
+    if (lines.count > lines.kept.size())
+        lines.kept.push_back("and " + std::to_string(lines.count - lines.kept.size()) + " more");
+    return std::move(lines.kept);
 }
 
 } // namespace appletally::config
--- a/src/appletally/config/delta.h
+++ b/src/appletally/config/delta.h
@@ -40,7 +40,8 @@
 std::string encode(const Delta&);
 base::Result<Delta> decodeDelta(std::string_view bytes); // MessageMalformed
 
-// For people: one line for each resource that differs, "service a: slots 10 -> 12", "route r: added".
-std::vector<std::string> describeDifference(const Snapshot& from, const Snapshot& to);
+// For people: one line for each resource that differs, "service a: slots 10 -> 12", "route r: added". At most
+// `mostLines` lines, followed by a line with the number of omitted ones, if any.
+std::vector<std::string> describeDifference(const Snapshot& from, const Snapshot& to, size_t mostLines = SIZE_MAX);
 
 } // namespace appletally::config
--- a/src/appletally/config/document.cpp
+++ b/src/appletally/config/document.cpp
@@ -10,6 +10,9 @@
 
 using base::Json;
 using base::JsonReader;
+using base::JsonWriter;
+using base::writeKey;
+using base::writeMember;
 
 namespace {
 
@@ -30,12 +33,32 @@
         }
     }
 
-    Json textsToJson(const std::map<std::string, std::string>& texts)
+    void writeTexts(JsonWriter& out, const char* key, const std::map<std::string, std::string>& texts)
     {
-        Json out = Json::array();
-        for (const auto& [name, text] : texts)
-            out.push_back({ { "name", name }, { "text", text } });
-        return out;
+        writeKey(out, key);
+        out.StartArray();
+        for (const auto& [name, text] : texts) {
+            out.StartObject();
+            writeMember(out, "name", name);
+            writeMember(out, "text", text);
+            out.EndObject();
+        }
+        out.EndArray();
+    }
+
+    template <typename Part, typename Resource>
+    void writeParts(JsonWriter& out, const char* listKey, const std::vector<Part>& parts, const char* resourceKey, Resource Part::*resource)
+    {
+        writeKey(out, listKey);
+        out.StartArray();
+        for (const Part& it : parts) {
+            out.StartObject();
+            writeKey(out, resourceKey);
+            write(out, it.*resource);
+            writeMember(out, "text", it.text);
+            out.EndObject();
+        }
+        out.EndArray();
     }
 
     std::map<std::string, std::string> readTexts(JsonReader& top, const std::string& key)
@@ -81,16 +104,16 @@
     return out;
 }
 
-Json toJson(const DocumentChange& it)
+void write(JsonWriter& out, const DocumentChange& it)
 {
-    Json routes = Json::array();
-    for (const DocumentRoute& part : it.routes)
-        routes.push_back({ { "route", toJson(part.route) }, { "text", part.text } });
-    Json services = Json::array();
-    for (const DocumentService& part : it.services)
-        services.push_back({ { "service", toJson(part.service) }, { "text", part.text } });
-    return { { "routes", std::move(routes) }, { "services", std::move(services) }, { "gone_routes", namesToJson(it.goneRoutes) },
-        { "gone_services", namesToJson(it.goneServices) }, { "limits", toJson(it.limits) }, { "others", textsToJson(it.others) } };
+    out.StartObject();
+    writeNames(out, "gone_routes", it.goneRoutes);
+    writeNames(out, "gone_services", it.goneServices);
+    base::writeRawMember(out, "limits", encode(toJson(it.limits)));
+    writeTexts(out, "others", it.others);
+    writeParts(out, "routes", it.routes, "route", &DocumentRoute::route);
+    writeParts(out, "services", it.services, "service", &DocumentService::service);
+    out.EndObject();
 }
 
 DocumentChange readDocumentChange(JsonReader top)
--- a/src/appletally/config/document.h
+++ b/src/appletally/config/document.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "appletally/base/json_reader.h"
+#include "appletally/base/json_writer.h"
 #include "appletally/base/result.h"
 #include "appletally/config/model.h"
 
@@ -80,7 +81,7 @@
 bool wasAccepted(const DocumentRecord&, const DocumentId&);
 
 base::Json toJson(const DocumentId&);
-base::Json toJson(const DocumentChange&);
+void write(base::JsonWriter&, const DocumentChange&);
 DocumentId readDocumentId(base::JsonReader);
 DocumentChange readDocumentChange(base::JsonReader);
 
--- a/src/appletally/config/json_names.h
+++ b/src/appletally/config/json_names.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "appletally/base/json_reader.h"
+#include "appletally/base/json_writer.h"
 
 #include <string>
 #include <vector>
@@ -17,6 +18,16 @@
     return out;
 }
 
+template <typename T>
+void writeNames(base::JsonWriter& out, std::string_view key, const std::vector<T>& names)
+{
+    base::writeKey(out, key);
+    out.StartArray();
+    for (const T& it : names)
+        base::writeText(out, it.text);
+    out.EndArray();
+}
+
 template <typename T>
 std::vector<T> readNames(base::JsonReader& it, const std::string& key)
 {
--- a/src/appletally/config/questionnaire.cpp
+++ b/src/appletally/config/questionnaire.cpp
@@ -127,9 +127,9 @@
         }
     }
 
-    // The parser keeps the last of two equal keys in one object without a word: a team that writes "idempotent" twice would
+    // Parsers accept two equal keys in one object without an error: a team that writes "idempotent" twice would
     // get one of its two answers, and a donation might be repeated. `doubled` names the first such key.
-    base::Json parseWatchingKeys(const std::string& bytes, std::string& doubled)
+    void findRepeatedKey(const std::string& bytes, std::string& doubled)
     {
         std::vector<std::set<std::string>> open; // keys seen in the objects that are not closed yet
         const auto watch = [&](int, base::Json::parse_event_t event, const base::Json& value) {
@@ -142,7 +142,7 @@
                 doubled = value.get<std::string>();
             return true;
         };
-        return base::Json::parse(bytes, watch, false);
+        const base::Json ignored = base::Json::parse(bytes, watch, false);
     }
 
 } // namespace
@@ -153,10 +153,10 @@
     return !text.empty() && text.size() <= mostNameBytes && std::all_of(text.begin(), text.end(), allowed);
 }
 
-base::Result<Answers> readAnswers(const base::Json& json, const std::string& file)
+base::Result<Answers> readAnswers(const base::JsonValue& json, const std::string& file)
 {
     base::ReadProblem problem;
-    JsonReader top(json, file, "", problem);
+    JsonReader top(json, file, problem);
     Answers out;
     out.name = readName(top, "name");
     out.weighing = static_cast<Weighing>(top.choice("weighing", weighings));
@@ -177,12 +177,13 @@
     if (bytes.size() > mostAnswersBytes)
         return base::fail(Code::AnswersInvalid, file + ": (top): expected " + std::to_string(mostAnswersBytes) + " bytes at most");
     std::string doubled;
-    const base::Json json = parseWatchingKeys(bytes, doubled);
+    findRepeatedKey(bytes, doubled);
     if (!doubled.empty())
         return base::fail(Code::AnswersInvalid, file + ": " + doubled + ": expected this key only once");
-    if (json.is_discarded())
+    const auto json = base::parseJson(bytes);
+    if (!json)
         return base::fail(Code::AnswersInvalid, file + ": (top): expected JSON");
-    return readAnswers(json, file);
+    return readAnswers(json.value(), file);
 }
 
 } // namespace appletally::config
--- a/src/appletally/config/questionnaire.h
+++ b/src/appletally/config/questionnaire.h
@@ -57,7 +57,7 @@
 constexpr size_t mostAnswersBytes = 1024 * 1024;
 
 // `file` is for messages. AnswersInvalid names the file, the path in it and what was expected.
-base::Result<Answers> readAnswers(const base::Json&, const std::string& file);
+base::Result<Answers> readAnswers(const base::JsonValue&, const std::string& file);
 base::Result<Answers> parseAnswers(const std::string& bytes, const std::string& file); // from the submitted bytes
 
 } // namespace appletally::config
--- a/src/appletally/config/state_codec.cpp
+++ b/src/appletally/config/state_codec.cpp
@@ -6,6 +6,10 @@
 
 using base::Json;
 using base::JsonReader;
+using base::JsonWriter;
+using base::writeKey;
+using base::writeMember;
+using base::writeRawMember;
 
 namespace {
 
@@ -155,25 +159,58 @@
         return out;
     }
 
+    const std::string& nameOf(const std::string& name) { return name; }
+
     template <typename Name>
-    Json textsToJson(const std::map<Name, std::string>& texts)
+    const std::string& nameOf(const Name& name)
     {
-        Json out = Json::array();
-        for (const auto& [name, text] : texts)
-            out.push_back({ { "name", name.text }, { "text", text } });
-        return out;
+        return name.text;
+    }
+
+    template <typename Name>
+    void writeTexts(JsonWriter& out, const char* key, const std::map<Name, std::string>& texts)
+    {
+        writeKey(out, key);
+        out.StartArray();
+        for (const auto& [name, text] : texts) {
+            out.StartObject();
+            writeMember(out, "name", nameOf(name));
+            writeMember(out, "text", text);
+            out.EndObject();
+        }
+        out.EndArray();
     }
 
-    Json toJson(const DocumentRecord& it)
+    void write(JsonWriter& out, const DocumentRecord& it)
     {
         Json accepted = Json::array();
         for (const DocumentId& id : it.accepted)
             accepted.push_back(toJson(id));
-        Json others = Json::array();
-        for (const auto& [name, text] : it.texts.others)
-            others.push_back({ { "name", name }, { "text", text } });
-        return { { "current", toJson(it.current) }, { "accepted", std::move(accepted) }, { "routes", textsToJson(it.texts.routes) },
-            { "services", textsToJson(it.texts.services) }, { "others", std::move(others) } };
+        out.StartObject();
+        writeRawMember(out, "accepted", encode(accepted));
+        writeRawMember(out, "current", encode(toJson(it.current)));
+        writeTexts(out, "others", it.texts.others);
+        writeTexts(out, "routes", it.texts.routes);
+        writeTexts(out, "services", it.texts.services);
+        out.EndObject();
+    }
+
+    template <typename T>
+    Json listToJson(const T& list)
+    {
+        Json out = Json::array();
+        for (const auto& it : list)
+            out.push_back(toJson(it));
+        return out;
+    }
+
+    template <typename Key, typename Value>
+    Json listToJson(const std::map<Key, Value>& map)
+    {
+        Json out = Json::array();
+        for (const auto& [key, value] : map)
+            out.push_back(toJson(key, value));
+        return out;
     }
 
     template <typename Name>
@@ -239,22 +276,23 @@
 
 std::string encode(const State& state)
 {
-    Json out = { { "applied", state.applied.value }, { "snapshot", encode(state.snapshot) },
-        { "traffic", trafficToJson(state) }, { "teams", Json::array() }, { "running", Json::array() }, { "operators", Json::array() },
-        { "versions", Json::array() }, { "ended", Json::array() } };
-    for (const auto& [name, team] : state.teams)
-        out["teams"].push_back(toJson(name, team));
-    for (const auto& [id, rollout] : state.running)
-        out["running"].push_back(toJson(id, rollout));
-    for (const auto& [by, record] : state.operators)
-        out["operators"].push_back(toJson(by, record));
-    for (const VersionRecord& it : state.versions)
-        out["versions"].push_back(toJson(it));
-    for (const RolloutRecord& it : state.ended)
-        out["ended"].push_back(toJson(it));
-    if (state.document.current.number.value != 0)
-        out["document"] = toJson(state.document);
-    return compress(encode(out));
+    base::JsonBuffer buf;
+    JsonWriter out(buf);
+    out.StartObject();
+    writeMember(out, "applied", state.applied.value);
+    if (state.document.current.number.value != 0) {
+        writeKey(out, "document");
+        write(out, state.document);
+    }
+    writeRawMember(out, "ended", encode(listToJson(state.ended)));
+    writeRawMember(out, "operators", encode(listToJson(state.operators)));
+    writeRawMember(out, "running", encode(listToJson(state.running)));
+    writeMember(out, "snapshot", encode(state.snapshot));
+    writeRawMember(out, "teams", encode(listToJson(state.teams)));
+    writeRawMember(out, "traffic", encode(trafficToJson(state)));
+    writeRawMember(out, "versions", encode(listToJson(state.versions)));
+    out.EndObject();
+    return compress({ buf.GetString(), buf.GetSize() });
 }
 
 base::Result<State> decodeState(std::string_view bytes)
@@ -262,11 +300,11 @@
     auto plain = decompress(bytes, mostStateBytes);
     if (!plain)
         return plain.error();
-    auto json = decodeJson(plain.value());
+    auto json = base::parseJson(plain.value());
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    JsonReader top(json.value(), "state", "", problem);
+    JsonReader top(json.value(), "state", problem);
     State out;
     out.applied.value = readNumber(top, "applied");
     auto snapshot = decodeSnapshot(top.text("snapshot", mostSnapshotBytes));
--- a/src/appletally/config/state_machine.cpp
+++ b/src/appletally/config/state_machine.cpp
@@ -66,14 +66,9 @@
         layShares(candidate);
         if (auto checked = validate(candidate.snapshot); !checked)
             return refuse(state, checked.error().code, checked.error().text);
-        std::vector<std::string> lines = describeDifference(state.snapshot, candidate.snapshot);
+        std::vector<std::string> lines = describeDifference(state.snapshot, candidate.snapshot, mostDifferences);
         for (std::string& line : lines)
             line.resize(std::min(line.size(), mostDifferenceBytes));
-        if (lines.size() > mostDifferences) {
-            const size_t more = lines.size() - mostDifferences;
-            lines.resize(mostDifferences);
-            lines.push_back("and " + std::to_string(more) + " more");
-        }
         candidate.snapshot.sum = sumAfter(state.snapshot, candidate.snapshot);
         candidate.snapshot.version = { change.index.value };
         state.snapshot = std::move(candidate.snapshot);
--- a/src/appletally/control/documents.cpp
+++ b/src/appletally/control/documents.cpp
@@ -78,7 +78,7 @@
 kj::Promise<base::Result<base::ConfigVersion>> ControlProcess::proposeForVersion(const config::Command& command)
 {
     using Answer = base::Result<base::ConfigVersion>;
-    return m_replica->propose(config::encode(command)).then([this](base::Result<base::LogIndex> index) -> Answer {
+    return m_replica->propose(config::encodeForLog(command)).then([this](base::Result<base::LogIndex> index) -> Answer {
         if (!index)
             return index.error();
         const auto outcome = m_outcomes.find(index.value());
--- a/src/appletally/control/settings.cpp
+++ b/src/appletally/control/settings.cpp
@@ -31,7 +31,7 @@
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    JsonReader top(json.value(), file, "", problem);
+    JsonReader top(json.value(), file, problem);
     ControlSettings out;
     out.membership.cluster.text = top.text("cluster", 64);
     auto key = inner::parseClusterKey(top.text("key", 64));
--- a/src/appletally/ctl/request_file.cpp
+++ b/src/appletally/ctl/request_file.cpp
@@ -19,7 +19,7 @@
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    base::JsonReader top(json.value(), path, "", problem);
+    base::JsonReader top(json.value(), path, problem);
     out.last.value = static_cast<uint64_t>(top.integer("last", 0, INT64_MAX));
     const std::string pending = top.text("pending", "", size_t { 8 } << 20);
     top.finish();
--- a/src/appletally/ctl/settings.cpp
+++ b/src/appletally/ctl/settings.cpp
@@ -13,7 +13,7 @@
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    base::JsonReader top(json.value(), file, "", problem);
+    base::JsonReader top(json.value(), file, problem);
     CtlSettings out;
     out.membership.cluster.text = top.text("cluster", 64);
     auto key = inner::parseClusterKey(top.text("key", 64));
--- a/src/appletally/node/announce_port.cpp
+++ b/src/appletally/node/announce_port.cpp
@@ -16,11 +16,11 @@
 
 base::Result<Announcement> readAnnouncement(const std::string& body)
 {
-    const base::Json value = base::Json::parse(body, nullptr, false);
-    if (value.is_discarded())
+    const auto json = base::parseJson(body);
+    if (!json)
         return base::fail(Code::RequestMalformed, "expected a JSON object");
     base::ReadProblem problem;
-    base::JsonReader reader(value, "announcement", "", problem);
+    base::JsonReader reader(json.value(), "announcement", problem);
     Announcement out;
     out.service = { reader.text("service", 64) };
     out.version = { reader.text("version", 64) };
--- a/src/appletally/node/settings.cpp
+++ b/src/appletally/node/settings.cpp
@@ -47,7 +47,7 @@
     if (!json)
         return json.error();
     base::ReadProblem problem;
-    base::JsonReader top(json.value(), file, "", problem);
+    base::JsonReader top(json.value(), file, problem);
     NodeSettings out;
 
     out.membership.cluster = { top.text("cluster", 64) };
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -21,9 +21,9 @@
 TEST_CASE("a mistyped key in the settings is refused with its path and not passed over", "[base]")
 {
     // An operator writes "batch_ms" where the key is "batch". Passed over, the old pace would stay and nobody would see why.
-    const Json value = Json::parse(R"({"pace": {"batch_ms": 5}})");
+    const JsonDocument value = parseJson(R"({"pace": {"batch_ms": 5}})").value();
     ReadProblem problem;
-    JsonReader top(value, "a.json", "", problem);
+    JsonReader top(value, "a.json", problem);
     JsonReader pace = top.object("pace");
     pace.duration("batch", Duration { 0 }, Duration { 1000 }, Duration { 20 });
     pace.finish();
@@ -36,9 +36,9 @@
 TEST_CASE("values of the wrong type or out of range name what was expected", "[base]")
 {
     const auto problemOf = [](const char* text) {
-        const Json value = Json::parse(text);
+        const JsonDocument value = parseJson(text).value();
         ReadProblem problem;
-        JsonReader top(value, "a.json", "", problem);
+        JsonReader top(value, "a.json", problem);
         top.integer("slots", 1, 100);
         top.finish();
         return problem.first ? problem.first->text : "";
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -34,7 +34,7 @@
 
 std::string problemOf(const Json& json)
 {
-    auto it = readAnswers(json, "a.json");
+    auto it = readAnswers(base::parseJson(json.dump()).value(), "a.json");
     if (it)
         return "";
     CHECK(it.error().code == Code::AnswersInvalid);
@@ -95,8 +95,8 @@
     page << in.rdbuf();
     std::set<std::string> keys;
     for (const char* name : { "berthgrid.json", "hlyab.json" }) {
-        const auto json = base::readJsonFile(std::string(SOURCE_FOLDER) + "/examples/" + name);
-        const base::Json flat = json.value().flatten();
+        std::ifstream example(std::string(SOURCE_FOLDER) + "/examples/" + name);
+        const base::Json flat = base::Json::parse(example).flatten();
         for (const auto& [pointer, value] : flat.items()) {
             std::istringstream parts(pointer);
             for (std::string part; std::getline(parts, part, '/');) {
