Grant peers a grace period after a replica's own pause

Cause: a replica that did not run for a while (a long computation, an overloaded processor) found its election timeout or its lease expired when it resumed, although the messages of the others were unread in its sockets. A leader that was paused for 450 ms stepped down though no follower had stood for election; a follower started a pre-vote and forgot its leader until the next heartbeat.

Change: after a pause of two heartbeats (100 ms) to two election timeouts, replicas that were in contact before it have 100 ms to be heard before they count as silent, once until they are heard again, so that repeated pauses do not hide a loss. After a longer pause the behaviour is as before. A lost leader may be replaced up to 100 ms later by followers that paused; reads and commits do not depend on these timers, a change of members may count a lost voter as responding for as long.

--- a/src/appletally/consensus/follower.cpp
+++ b/src/appletally/consensus/follower.cpp
@@ -20,6 +20,7 @@
         becomeFollower(c, m.term, m.from);
     r.leader = m.from;
     r.leaderHeard = c.now;
+    r.leaderHeardExtended = false;
     r.leaderEverHeard = true;
     resetElection(c);
     return true;
--- a/src/appletally/consensus/leader.cpp
+++ b/src/appletally/consensus/leader.cpp
@@ -200,6 +200,7 @@
     if (m.term != r.state.term || !isLeader(r) || it == r.progress.end())
         return nullptr;
     it->second.heard = c.now;
+    it->second.heardExtended = false;
     it->second.answered = true;
     it->second.round = std::max(it->second.round, round);
     return &it->second;
--- a/src/appletally/consensus/replica.cpp
+++ b/src/appletally/consensus/replica.cpp
@@ -4,6 +4,7 @@
 #include "appletally/consensus/core.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace appletally::consensus {
 
@@ -41,11 +42,39 @@
     return r;
 }
 
+// After a pause of this process (a long computation, an overloaded processor, a freeze), messages from other replicas may
+// still be unread in its sockets. Replicas heard within an election timeout before the pause get a grace period before they
+// count as silent, once until they are heard again, and a follower does not stand for election during its leader's. A pause
+// of two election timeouts or more gets no grace period: by then the others are expected to have elected another leader.
+static void extendTimeoutsAfterPause(Context& c)
+{
+    Replica& r = c.replica;
+    const base::Duration grace = r.config.heartbeat * 2;
+    const base::Duration timeout = r.config.electionTimeout;
+    const base::Time lastStep = std::exchange(r.lastStep, c.now);
+    if (c.now - lastStep < grace || c.now - lastStep >= timeout * 2)
+        return;
+    const auto extend = [&](base::Time& heard, bool& extended) {
+        if (extended || lastStep - heard >= timeout)
+            return false;
+        heard = std::max(heard, c.now - timeout + grace);
+        return extended = true;
+    };
+    if (!isLeader(r)) {
+        if (extend(r.leaderHeard, r.leaderHeardExtended))
+            r.electionAt = std::max(r.electionAt, c.now + grace);
+        return;
+    }
+    for (auto& [id, it] : r.progress)
+        extend(it.heard, it.heardExtended);
+}
+
 // A process may have been frozen for any time before this step. Its lease and its election timeout are looked at
 // before the input is, so that a thawed leader learns that it is none before it takes a proposal.
 static void checkTime(Context& c)
 {
     Replica& r = c.replica;
+    extendTimeoutsAfterPause(c);
     if (isLeader(r) && !core::majorityHeard(c, latestMembers(r)))
         core::becomeFollower(c, r.state.term, {});
     if (isLeader(r)) {
@@ -200,6 +229,7 @@
     Context c { r, now, random, ready, {} };
     if (!r.started) {
         r.started = true;
+        r.lastStep = now;
         core::startElectionClock(c);
         if (r.snapshot->data)
             ready.restore = r.snapshot;
--- a/src/appletally/consensus/replica.h
+++ b/src/appletally/consensus/replica.h
@@ -113,6 +113,7 @@
     LogIndex sentReleased;
     uint64_t round = 0; // the highest round answered
     base::Time heard; // last answer, or when this replica began to lead
+    bool heardExtended = false; // as leaderHeardExtended
     bool answered = false; // since this replica leads
     base::Time sent; // last message with entries or a chunk
     bool waiting = false; // one message with entries or a chunk is on its way
@@ -160,10 +161,13 @@
     std::vector<HeldMessage> held;
     std::map<uint64_t, std::pair<LogIndex, LogIndex>> marks; // per Persist not yet durable: last entry and commit in it
 
+    base::Time lastStep; // time passed to the most recent step()
+
     // Standing.
     Standing standing = Standing::Follower;
     ReplicaId leader; // of this term; 0: unknown
     base::Time leaderHeard; // last message of the leader
+    bool leaderHeardExtended = false; // by a grace period after a pause; since the last message
     bool leaderEverHeard = false;
     base::Time electionAt; // when to stand, unless a leader is heard
     std::set<ReplicaId> votes;
