Limit the voting control processes to the number that the tolerated losses require

Cause: all control processes voted. With ten, six had to record each entry, where three of five tolerate the same two losses. Ten that started together needed sixteen membership changes in a row, at least 200 ms each, while the first configuration was applied between them.

Replicas that join together are added in a single change. A replica without a vote counts as connected once it has caught up with the members that added it and reaches a majority of the voters.

Which voters are chosen does not follow zones yet.

--- a/src/appletally/consensus/core.h
+++ b/src/appletally/consensus/core.h
@@ -60,7 +60,7 @@
 
 // --- Members (membership.cpp) ---
 
-void receive(Context&, const AddMember&);
+void receive(Context&, const AddMembers&);
 void receive(Context&, const RemoveMember&);
 void continueChange(Context&); // that waits for its voters
 void continueRepair(Context&);
--- a/src/appletally/consensus/leader.cpp
+++ b/src/appletally/consensus/leader.cpp
@@ -130,6 +130,10 @@
     Replica& r = c.replica;
     r.heartbeatAt = c.now + r.config.heartbeat;
     for (auto& [id, p] : r.progress) {
+        const bool votes = isVoter(latestMembers(r), id);
+        if (!votes && c.now < p.heartbeatAt)
+            continue;
+        p.heartbeatAt = c.now + r.config.heartbeat * r.config.nonVoterHeartbeatPeriod;
         if (p.waiting && c.now - p.sent >= r.config.heartbeat * 4)
             p.waiting = false; // lost, or its answer was: send it again
         if (p.waiting)
--- a/src/appletally/consensus/membership.cpp
+++ b/src/appletally/consensus/membership.cpp
@@ -86,32 +86,42 @@
     return list;
 }
 
-void receive(Context& c, const AddMember& input)
+static std::vector<Member> withAdded(std::vector<Member> list, Member added)
+{
+    if (added.role == Role::Voter)
+        added.role = Role::Joining;
+    for (const Member& it : std::vector<Member>(list)) {
+        if (it.host != added.host)
+            continue;
+        // A host has a single data folder, so its previous replica is lost.
+        if (it.role != Role::Voter)
+            list = without(std::move(list), it.id);
+        else if (added.role == Role::Joining)
+            added.replaces = it.id;
+    }
+    list.push_back(std::move(added));
+    return list;
+}
+
+void receive(Context& c, const AddMembers& input)
 {
     const Replica& r = c.replica;
     const Members& members = latestMembers(r);
-    if (findMember(members, input.member.id)) {
+    const auto isMember = [&](const Member& it) { return findMember(members, it.id) != nullptr; };
+    if (std::all_of(input.members.begin(), input.members.end(), isMember)) {
         c.ready.accepted.push_back({ input.id, members.index });
         return;
     }
-    if (!changeAllowed(r) || input.member.id.value == 0) {
+    const bool haveIds = std::all_of(input.members.begin(), input.members.end(), [](const Member& it) { return it.id.value != 0; });
+    if (!changeAllowed(r) || !haveIds) {
         refuse(c, input.id);
         return;
     }
-    Member added = input.member;
-    if (added.role == Role::Voter)
-        added.role = Role::Joining;
     std::vector<Member> list = members.list;
-    for (const Member& it : members.list) {
-        if (it.host != added.host)
-            continue;
-        // A host has one data folder, so whatever it was before is lost.
-        if (it.role != Role::Voter)
-            list = without(list, it.id);
-        else if (added.role == Role::Joining)
-            added.replaces = it.id;
+    for (const Member& it : input.members) {
+        if (!findMember({ {}, list }, it.id))
+            list = withAdded(std::move(list), it);
     }
-    list.push_back(added);
     begin(c, input.id, std::move(list));
 }
 
@@ -169,7 +179,10 @@
         voters++;
         allRespond &= responds(r, it.id, now);
     }
-    return findMember(members, joining.replaces) || voters % 2 == 0 || allRespond;
+    if (findMember(members, joining.replaces))
+        return true;
+    const bool belowLimit = r.config.mostVoters == 0 || voters < r.config.mostVoters;
+    return belowLimit && (voters % 2 == 0 || allRespond);
 }
 
 static const Member* nextVoter(const Replica& r, const Members& members, base::Time now)
@@ -221,6 +234,11 @@
     return out;
 }
 
+bool hasCaughtUp(const Replica& r)
+{
+    return core::isVoter(latestMembers(r), r.id) || findMember(committedMembers(r), r.id);
+}
+
 bool hasStandby(const Replica& r, base::Time now)
 {
     const Members& members = latestMembers(r);
--- a/src/appletally/consensus/replica.cpp
+++ b/src/appletally/consensus/replica.cpp
@@ -139,7 +139,7 @@
 }
 
 static void take(Context& c, const ReadIndex& input) { askLeader(c, input); }
-static void take(Context& c, const AddMember& input) { askLeader(c, input); }
+static void take(Context& c, const AddMembers& input) { askLeader(c, input); }
 static void take(Context& c, const RemoveMember& input) { askLeader(c, input); }
 
 static void take(Context& c, const Persisted& input)
--- a/src/appletally/consensus/replica.h
+++ b/src/appletally/consensus/replica.h
@@ -39,11 +39,12 @@
 struct ReadIndex {
     uint64_t id = 0;
 };
-// Adds a learner or a joining replica (which may name the one that it replaces). The leader does the rest by itself:
-// waits until it has caught up, makes it a voter, then takes the replaced one out. Repeating it is harmless.
-struct AddMember {
+// Adds learners or joining replicas (which may name the ones that they replace) in a single configuration change; none of
+// them votes yet. The leader then promotes joining replicas that have caught up to voters, within the voter limit, and
+// removes the ones that they replace. Idempotent.
+struct AddMembers {
     uint64_t id = 0;
-    Member member; // role Learner or Joining
+    std::vector<Member> members; // roles Learner or Joining
 };
 struct RemoveMember {
     uint64_t id = 0;
@@ -57,7 +58,7 @@
     LogIndex index;
     std::shared_ptr<const std::string> data;
 };
-using Input = std::variant<Tick, Received, Propose, ReadIndex, AddMember, RemoveMember, Persisted, SnapshotTaken>;
+using Input = std::variant<Tick, Received, Propose, ReadIndex, AddMembers, RemoveMember, Persisted, SnapshotTaken>;
 
 // --- Outputs ---
 
@@ -116,6 +117,7 @@
     bool heardExtended = false; // as leaderHeardExtended
     bool answered = false; // since this replica leads
     base::Time sent; // last message with entries or a chunk
+    base::Time heartbeatAt; // next heartbeat due; used for replicas without a vote
     bool waiting = false; // one message with entries or a chunk is on its way
     uint64_t offset = 0; // of the snapshot, next byte to send
     LogIndex snapshot; // being sent; 0: none
@@ -203,6 +205,9 @@
 // Both only on a leader.
 std::set<ReplicaId> respondingVoters(const Replica&, base::Time now); // answered within an election timeout; itself among them
 bool hasStandby(const Replica&, base::Time now); // a joining replica that replaces nobody has all that is committed
+
+// True for a voter, and for a replica without a vote that has caught up at least to the commit of the change that added it.
+bool hasCaughtUp(const Replica&);
 inline bool isLeader(const Replica& it) { return it.standing == Standing::Leader; }
 
 } // namespace appletally::consensus
--- a/src/appletally/control/changes.cpp
+++ b/src/appletally/control/changes.cpp
@@ -108,7 +108,7 @@
         if (it->replica() != fresh || fresh.value == 0)
             continue;
         const consensus::Member member { fresh, it->host(), consensus::Role::Joining, old };
-        return m_replica->addMember(member).then([](base::Result<base::LogIndex> index) -> Answer {
+        return m_replica->addMembers({ member }).then([](base::Result<base::LogIndex> index) -> Answer {
             if (!index)
                 return index.error();
             return base::success();
--- a/src/appletally/control/duties.cpp
+++ b/src/appletally/control/duties.cpp
@@ -58,7 +58,7 @@
     return 2 * (static_cast<size_t>(up) + 1) > m_peers.size() + 1;
 }
 
-// A replica that does not vote yet has nothing that its nodes may rely on.
+// A replica that has not caught up to the change that added it may hold outdated state, so it does not count as connected.
 bool ControlProcess::reachesMajority() const
 {
     if (!m_replica || m_replica->stopped())
@@ -66,16 +66,14 @@
     const consensus::Replica& replica = m_replica->replica();
     size_t voters = 0;
     size_t reached = 0;
-    bool votes = false;
     for (const consensus::Member& member : consensus::latestMembers(replica).list) {
         if (member.role != consensus::Role::Voter)
             continue;
         ++voters;
-        votes |= member.id == replica.id;
         const auto link = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto& it) { return it->up() && it->replica() == member.id; });
         reached += member.id == replica.id || link != m_peers.end();
     }
-    return votes && reached * 2 > voters;
+    return consensus::hasCaughtUp(replica) && reached * 2 > voters;
 }
 
 void ControlProcess::expireOld()
@@ -95,14 +93,15 @@
     control::expire(m_convergence, now);
 }
 
-// A mesh begins with one formatted voter, or with its seeds; the others are let in one after the other. With a fixed list a host that was a
-// member before is never let in again by itself: it lost its disk, and only an operator knows whether the old one is
-// really gone (replace-voter).
+// A mesh starts with one formatted voter, or with its seeds; all new hosts that are connected are added in one change. With
+// a fixed list, a host that was a member before is never added again automatically: it lost its disk, and only an operator
+// knows whether the old replica is really gone (replace-voter).
 void ControlProcess::letInNewVoters()
 {
     if (m_changingMembers)
         return;
     const consensus::Members& members = consensus::latestMembers(m_replica->replica());
+    std::vector<consensus::Member> joining;
     for (PeerLink* it : possibleVoters()) {
         // Where hosts are known by their addresses, an empty folder at a voter's address says that the old one is lost:
         // nothing else can listen there.
@@ -111,10 +110,12 @@
         });
         if (known || !it->up() || it->replica().value == 0)
             continue;
-        m_changingMembers = true;
-        m_tasks->add(m_replica->addMember({ it->replica(), it->host(), consensus::Role::Joining, {} }).then([this](const base::Result<base::LogIndex>&) { m_changingMembers = false; }));
-        return;
+        joining.push_back({ it->replica(), it->host(), consensus::Role::Joining, {} });
     }
+    if (joining.empty())
+        return;
+    m_changingMembers = true;
+    m_tasks->add(m_replica->addMembers(std::move(joining)).then([this](const base::Result<base::LogIndex>&) { m_changingMembers = false; }));
 }
 
 // A full disk has room again after a while, and nobody is there to restart the process. Left stopped, the replica is a loss
--- a/src/appletally/control/replica_driver.cpp
+++ b/src/appletally/control/replica_driver.cpp
@@ -83,10 +83,10 @@
     return ask(id, consensus::ReadIndex { id });
 }
 
-kj::Promise<base::Result<base::LogIndex>> ReplicaDriver::addMember(const consensus::Member& member)
+kj::Promise<base::Result<base::LogIndex>> ReplicaDriver::addMembers(std::vector<consensus::Member> members)
 {
     const uint64_t id = m_nextId++;
-    return ask(id, consensus::AddMember { id, member });
+    return ask(id, consensus::AddMembers { id, std::move(members) });
 }
 
 kj::Promise<base::Result<base::LogIndex>> ReplicaDriver::removeMember(base::ReplicaId replica)
--- a/src/appletally/control/replica_driver.h
+++ b/src/appletally/control/replica_driver.h
@@ -38,7 +38,7 @@
     // committed: resend), DiskFailed.
     kj::Promise<base::Result<base::LogIndex>> propose(std::string data);
     kj::Promise<base::Result<base::LogIndex>> readIndex(); // resolves once everything accepted before is applied here
-    kj::Promise<base::Result<base::LogIndex>> addMember(const consensus::Member&);
+    kj::Promise<base::Result<base::LogIndex>> addMembers(std::vector<consensus::Member>);
     kj::Promise<base::Result<base::LogIndex>> removeMember(base::ReplicaId);
 
     const consensus::Replica& replica() const { return m_replica; }
--- a/src/appletally/control/settings.cpp
+++ b/src/appletally/control/settings.cpp
@@ -10,6 +10,9 @@
 using base::Code;
 using base::JsonReader;
 
+static constexpr int64_t leastVoterLimit = 3; // fewer voters tolerate no loss
+static constexpr int64_t mostVoterLimit = 99;
+
 static std::vector<ControlPeer> readPeers(JsonReader& top, const std::string& key)
 {
     std::vector<ControlPeer> out;
@@ -55,6 +58,9 @@
         else
             top.refuse(Code::SettingsOutOfRange, "seeds", "IP numbers with ports, such as 127.0.0.1:7000");
     }
+    out.mostVoters = static_cast<size_t>(top.integer("most_voters", 0, mostVoterLimit, 0));
+    if (out.mostVoters != 0 && (out.mostVoters < leastVoterLimit || out.mostVoters % 2 == 0))
+        top.refuse(Code::SettingsOutOfRange, "most_voters", "0 for no limit, or an odd number of at least 3");
     out.firstStart = top.flag("first_start", false);
     out.claims = top.flag("claims", out.claims);
     out.startsPerSecond = static_cast<int>(top.integer("starts_per_second", 1, 10000, out.startsPerSecond));
