Answer requests that are still unread when a node stops

Suspected cause: a stopping node closed idle connections without checking their sockets, so requests that had arrived unread during some hundred milliseconds without processor time were then read and discarded.

Idle connections are now closed by a timer in a later iteration of the event loop, after the data that is readable by then has been read. The test fails without the change: a request in the socket of an idle connection was never passed to the handler.

--- a/src/appletally/http/caller_listener.cpp
+++ b/src/appletally/http/caller_listener.cpp
@@ -22,6 +22,8 @@
 {
     m_sweep = event_new(
         loop, -1, EV_PERSIST, [](evutil_socket_t, short, void* arg) { static_cast<CallerListener*>(arg)->sweep(); }, this);
+    m_closeIdle = evtimer_new(
+        loop, [](evutil_socket_t, short, void* arg) { static_cast<CallerListener*>(arg)->closeIdleNow(); }, this);
     m_bury = event_new(
         loop, -1, 0, [](evutil_socket_t, short, void* arg) { static_cast<CallerListener*>(arg)->bury(); }, this);
     const timeval every = base::toTimeval(sweepEvery);
@@ -40,6 +42,7 @@
     bury();
     event_free(m_sweep);
     event_free(m_bury);
+    event_free(m_closeIdle);
 }
 
 base::Result<base::Address> CallerListener::listen(const base::Address& address)
@@ -84,7 +87,15 @@
     m_listener = nullptr;
 }
 
+// Deferred to a later iteration of the event loop, which handles readable sockets before expired timers. Closing immediately
+// would drop requests that arrived while the process was not scheduled and are still unread.
 void CallerListener::closeIdle()
+{
+    const timeval delay { 0, 1000 };
+    evtimer_add(m_closeIdle, &delay);
+}
+
+void CallerListener::closeIdleNow()
 {
     const std::set<CallerConnection*> all = m_connections;
     for (CallerConnection* it : all) {
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -117,7 +117,7 @@
     void setLimits(const ListenerLimits&); // for requests from now on; mostConnections for connections from now on
     void setDraining(bool); // every answer then closes its connection
     void stopAccepting();
-    void closeIdle(); // connections without a request under way
+    void closeIdle(); // connections without a request under way, after pending data on their sockets has been read
     bool quiet() const { return m_connections.empty(); } // every answer is out; ending the process now cuts none
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
@@ -126,6 +126,7 @@
     friend struct CallerConnection;
     friend class CallerExchange;
     void accept(evutil_socket_t, const std::string& peerIp);
+    void closeIdleNow();
     void sweep();
     void bury(); // deletes what ended within callbacks
 
@@ -135,6 +136,7 @@
     evconnlistener* m_listener = nullptr;
     event* m_sweep = nullptr;
     event* m_bury = nullptr;
+    event* m_closeIdle = nullptr;
     std::set<CallerConnection*> m_connections;
     std::vector<std::unique_ptr<CallerConnection>> m_dead; // closed, to be deleted from the loop
     std::vector<std::unique_ptr<CallerExchange>> m_deadExchanges;
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <functional>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 using namespace appletally;
 
@@ -232,6 +233,27 @@
     CHECK(port.gone == 0);
 }
 
+// Guards against a stop that closes an idle connection without reading a request already in its socket.
+TEST_CASE("a stop answers an unread request on an idle connection", "[listener]")
+{
+    Port port;
+    Caller caller(port);
+    caller.send(get("/1"));
+    REQUIRE(port.run([&] { return port.waiting.size() == 1; }));
+    port.answer("/1");
+    REQUIRE(port.run([&] { return caller.has("answer to /1"); }));
+    const std::string unread = get("/2");
+    REQUIRE(::send(bufferevent_getfd(caller.buffers), unread.data(), unread.size(), 0) == static_cast<ssize_t>(unread.size()));
+    port.listener->setDraining(true);
+    port.listener->stopAccepting();
+    port.listener->closeIdle();
+    REQUIRE(port.run([&] { return port.waiting.size() == 1; }));
+    port.answer("/2");
+    REQUIRE(port.run([&] { return caller.closed; }));
+    CHECK(caller.has("answer to /2"));
+    CHECK(caller.has("Connection: close"));
+}
+
 TEST_CASE("limits may change while callers are connected", "[listener]")
 {
     // The configuration lowers what callers may send. A connection from before must not keep the old limit.
