--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -30,6 +30,7 @@
     { "appletally_control_links", MetricKind::Gauge, "links to other control processes that work" },
     { "appletally_nodes", MetricKind::Gauge, "nodes within reach, by whether they have the newest version in force" },
     { "appletally_rollouts", MetricKind::Gauge, "rollouts, by state" },
+    { "appletally_loop_stall_ms", MetricKind::Histogram, "for how long the process's loop did nothing else, by cause" },
 });
 
 std::span<const MetricInfo> allMetrics() { return table; }
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -35,6 +35,8 @@
     add("appletally_known_upstreams", "state=\"any\"", m_endpoints.entries.size());
     add("appletally_rollouts", "state=\"running\"", m_state.snapshot.rollouts.size());
     add("appletally_rollouts", "state=\"ended\"", m_state.ended.size());
+    if (m_replica)
+        writeMetrics(m_replica->stalls(), out);
     return out.text();
 }
 
--- a/src/appletally/control/replica_driver.cpp
+++ b/src/appletally/control/replica_driver.cpp
@@ -4,6 +4,8 @@
 #include "appletally/base/log.h"
 #include "appletally/inner/cluster_key.h"
 
+#include <algorithm>
+
 namespace appletally::control {
 
 namespace {
@@ -46,7 +48,10 @@
 
 kj::Promise<void> ReplicaDriver::ticks()
 {
-    return m_timer.afterDelay(m_replica.config.heartbeat.ms / 2 * kj::MILLISECONDS).then([this] {
+    const base::Duration every = m_replica.config.heartbeat / 2;
+    const base::Time due = base::steadyNow() + every;
+    return m_timer.afterDelay(every.ms * kj::MILLISECONDS).then([this, due] {
+        base::addStall(m_stalls, base::StallCause::LateTimer, std::max<int64_t>((base::steadyNow() - due).ms, 0) * 1000);
         drive(consensus::Tick {});
         return ticks();
     });
@@ -136,6 +141,7 @@
         m_hooks.restore(*ready.restore);
     }
     for (const consensus::Entry& it : ready.committed) {
+        const base::StallTimer timer(m_stalls, base::StallCause::Apply);
         m_bytesSinceSnapshot += it.data.size();
         m_hooks.apply(it);
     }
@@ -172,7 +178,10 @@
 void ReplicaDriver::persist(const consensus::Persist& persist)
 {
     ++m_syncs;
-    const auto written = consensus::write(m_disk, persist);
+    const auto written = [&] {
+        const base::StallTimer timer(m_stalls, base::StallCause::Disk);
+        return consensus::write(m_disk, persist);
+    }();
     if (written) {
         m_inputs.push_front(consensus::Persisted { persist.sequence });
         return;
@@ -194,6 +203,7 @@
     m_snapshotAt = m_replica.applied;
     m_bytesSinceSnapshot = 0;
     base::logEvent(base::Event::SnapshotTaken, "of all up to log index " + std::to_string(m_snapshotAt.value));
+    const base::StallTimer timer(m_stalls, base::StallCause::Snapshot);
     m_inputs.push_back(consensus::SnapshotTaken { m_snapshotAt, std::make_shared<const std::string>(m_hooks.state()) });
 }
 
--- a/src/appletally/control/replica_driver.h
+++ b/src/appletally/control/replica_driver.h
@@ -4,6 +4,7 @@
 // fails stops the replica for good (DiskStopped): to the others it looks like one that went silent, and they go on.
 #pragma once
 
+#include "appletally/base/loop_stalls.h"
 #include "appletally/consensus/disk_log.h"
 #include "appletally/consensus/released.h"
 #include "appletally/consensus/replica.h"
@@ -44,6 +45,7 @@
     const consensus::Replica& replica() const { return m_replica; }
     bool stopped() const { return m_failure.has_value(); }
     void closeDisk() { consensus::closeFolder(m_disk); } // of a stopped one, so that it can be opened again
+    const base::LoopStalls& stalls() const { return m_stalls; }
     nlohmann::json toJson() const;
 
 private:
@@ -73,6 +75,7 @@
     uint64_t m_bytesSinceSnapshot = 0;
     base::Time m_appliedAt; // when entries were last applied
     uint64_t m_syncs = 0;
+    base::LoopStalls m_stalls;
     kj::TaskSet m_tasks; // last: its tasks use all above
 };
 
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -90,6 +90,7 @@
     // The link never sends a lower version; a node that went back would undo what an operator was told is in force.
     if (m_snapshot && message.snapshot->version <= m_snapshot->version)
         return;
+    const base::StallTimer timer(m_stalls, base::StallCause::Apply);
     m_snapshot = message.snapshot;
     m_claims.apply(m_snapshot->keepers);
     m_owner.apply(m_snapshot);
@@ -149,6 +150,8 @@
 void Node::onTick()
 {
     const base::Time now = base::steadyNow();
+    base::addStall(m_stalls, base::StallCause::LateTimer, std::max<int64_t>((now - m_tickedAt - tickEvery).ms, 0) * 1000);
+    m_tickedAt = now;
     const Duration every = m_snapshot ? m_snapshot->pace.report : Duration { 200 };
     if (now - m_reportedAt >= every) {
         m_reportedAt = now;
@@ -206,6 +209,7 @@
     out.add("appletally_control_reachable", "", m_controlReachable ? 1 : 0);
     out.add("appletally_node_links", "direction=\"in\"", static_cast<double>(m_ownerLinks.links()));
     out.add("appletally_node_links", "direction=\"out\"", static_cast<double>(m_peers.links()));
+    writeMetrics(m_stalls, out);
     return out.text();
 }
 
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -1,6 +1,7 @@
 // The node's task: one libevent loop that owns the call path, beside the control link's own thread.
 #pragma once
 
+#include "appletally/base/loop_stalls.h"
 #include "appletally/inner/control_link.h"
 #include "appletally/node/announce_port.h"
 #include "appletally/node/ingress.h"
@@ -73,6 +74,8 @@
     event* m_controlReadable = nullptr;
     event* m_tick = nullptr;
     base::Time m_reportedAt;
+    base::Time m_tickedAt = base::steadyNow();
+    base::LoopStalls m_stalls;
     bool m_controlReachable = false;
     bool m_endpointsTold = false; // control has said which upstreams there are
     bool m_endpointKnown = false; // something was announced, so that its end has to be too
--- a/tests/formation_test.cpp
+++ b/tests/formation_test.cpp
@@ -1,5 +1,6 @@
 // A mesh that finds itself: first members, lost disks, damaged folders; and the small modules that came with it.
 #include "appletally/base/log.h"
+#include "appletally/base/loop_stalls.h"
 #include "appletally/base/metrics_text.h"
 #include "appletally/config/generate.h"
 #include "appletally/config/route_match.h"
@@ -256,6 +257,22 @@
     CHECK(text.text().find("appletally_upstream_run_ms_sum 430\n") != std::string::npos);
 }
 
+// Guards against event loop stalls that are missing from the metrics.
+TEST_CASE("loop stalls are reported by cause", "[log]")
+{
+    base::LoopStalls stalls;
+    base::addStall(stalls, base::StallCause::Disk, 600'000);
+    {
+        const base::StallTimer timer(stalls, base::StallCause::Apply);
+    }
+    base::MetricsText text;
+    writeMetrics(stalls, text);
+    CHECK(text.text().find("appletally_loop_stall_ms_bucket{cause=\"disk\",le=\"500\"} 0\n") != std::string::npos);
+    CHECK(text.text().find("appletally_loop_stall_ms_bucket{cause=\"disk\",le=\"800\"} 1\n") != std::string::npos);
+    CHECK(text.text().find("appletally_loop_stall_ms_count{cause=\"apply\"} 1\n") != std::string::npos);
+    CHECK(text.text().find("snapshot") == std::string::npos);
+}
+
 TEST_CASE("a full pipe on standard output and a SIGHUP stop nothing", "[process][node]")
 {
     // Whoever collects the logs hangs. A process that waited for it would stop serving, for want of somebody to tell.
