Metrics and log lines that tell a service without upstreams and a node behind apart

Adds the ready upstreams of both versions to 601 to 604, 207 answered-before-all with the nodes that lack the version, 408 source-taken, and metrics of refusals by service and code, of upstreams and shares by service and version, of services that nothing serves, of subscribers and of isolated sources.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -24,6 +24,7 @@
     VersionReleased = 204,
     BootVersionProven = 205,
     SubmitRefused = 206,
+    AnsweredBeforeAll = 207,
 
     // 3xx: replicated log
     BecameLeader = 301,
@@ -44,6 +45,7 @@
     LinkRefused = 405,
     ControlLost = 406,
     ControlFound = 407,
+    SourceTaken = 408,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -9,6 +9,7 @@
 
 static constexpr auto table = std::to_array<MetricInfo>({
     { "appletally_requests_total", MetricKind::Counter, "callers' requests at this node, by outcome" },
+    { "appletally_requests_refused_total", MetricKind::Counter, "callers' requests that were refused, by service and result code" },
     { "appletally_request_tries_total", MetricKind::Counter, "further tries of callers' requests, by kind" },
     { "appletally_request_latency_ms", MetricKind::Histogram, "from a caller's request to its whole answer" },
     { "appletally_requests_running", MetricKind::Gauge, "callers' requests without their answer" },
@@ -29,6 +30,12 @@
     { "appletally_log_index", MetricKind::Gauge, "log index, by what has come that far here" },
     { "appletally_control_links", MetricKind::Gauge, "links to other control processes that work" },
     { "appletally_nodes", MetricKind::Gauge, "nodes within reach, by whether they have the newest version in force" },
+    { "appletally_answered_before_all_total", MetricKind::Counter, "operators' changes that were acknowledged before every node within reach had confirmed them" },
+    { "appletally_subscribers", MetricKind::Gauge, "nodes and relays that take their configuration from this process" },
+    { "appletally_source_isolated", MetricKind::Gauge, "1: this process has lost most other control processes and asks its subscribers to leave" },
+    { "appletally_service_upstreams", MetricKind::Gauge, "ready upstreams that this process knows, by service and version" },
+    { "appletally_service_share", MetricKind::Gauge, "thousandths of a service's traffic, by version" },
+    { "appletally_services_unserved", MetricKind::Gauge, "services of which no version that has traffic has a ready upstream" },
     { "appletally_rollouts", MetricKind::Gauge, "rollouts, by state" },
     { "appletally_loop_stall_ms", MetricKind::Histogram, "for how long the process's loop did nothing else, by cause" },
 });
--- a/src/appletally/config/endpoint_registry.cpp
+++ b/src/appletally/config/endpoint_registry.cpp
@@ -124,6 +124,28 @@
     return out;
 }
 
+static bool isReady(const RegistryEntry& it) { return !it.ranOut && it.endpoint.state == EndpointState::Ready; }
+
+std::map<base::ServiceName, ReadyByVersion> readyUpstreams(const EndpointRegistry& registry)
+{
+    std::map<base::ServiceName, ReadyByVersion> out;
+    for (const auto& [host, it] : registry.entries) {
+        if (isReady(it))
+            ++out[it.endpoint.service][it.endpoint.version];
+    }
+    return out;
+}
+
+ReadyByVersion readyUpstreams(const EndpointRegistry& registry, const base::ServiceName& service)
+{
+    ReadyByVersion out;
+    for (const auto& [host, it] : registry.entries) {
+        if (isReady(it) && it.endpoint.service == service)
+            ++out[it.endpoint.version];
+    }
+    return out;
+}
+
 EndpointsDelta changesSince(const EndpointRegistry& registry, EndpointCursor cursor, const std::set<base::ServiceName>* services, size_t most)
 {
     EndpointsDelta out;
--- a/src/appletally/config/endpoint_registry.h
+++ b/src/appletally/config/endpoint_registry.h
@@ -82,6 +82,11 @@
 bool renew(EndpointRegistry&, const EndpointRenewal&, base::Time now);
 std::vector<EndpointRenewal> renewalsSince(const EndpointRegistry&, base::Time since);
 
+// How many ready upstreams run each version of a service.
+using ReadyByVersion = std::map<base::UpstreamVersion, size_t>;
+std::map<base::ServiceName, ReadyByVersion> readyUpstreams(const EndpointRegistry&);
+ReadyByVersion readyUpstreams(const EndpointRegistry&, const base::ServiceName&);
+
 // Turns what ran out into tombstones and drops old tombstones. Returns how many records ran out now.
 size_t expire(EndpointRegistry&, base::Time now);
 
--- a/src/appletally/control/convergence.cpp
+++ b/src/appletally/control/convergence.cpp
@@ -28,6 +28,16 @@
     return static_cast<size_t>(std::count_if(it.nodes.begin(), it.nodes.end(), [&](const auto& entry) { return entry.second.version >= version; }));
 }
 
+std::vector<base::HostId> nodesBelow(const Convergence& it, base::ConfigVersion version)
+{
+    std::vector<base::HostId> out;
+    for (const auto& [host, standing] : it.nodes) {
+        if (standing.version < version)
+            out.push_back(host);
+    }
+    return out;
+}
+
 static void noteEverywhere(Convergence& it, base::Time now)
 {
     if (it.nodes.empty())
--- a/src/appletally/control/convergence.h
+++ b/src/appletally/control/convergence.h
@@ -33,6 +33,7 @@
 
 // How many of the nodes within reach have the version or a later one.
 size_t inForce(const Convergence&, base::ConfigVersion);
+std::vector<base::HostId> nodesBelow(const Convergence&, base::ConfigVersion); // the others
 nlohmann::json toJson(const Convergence&);
 
 } // namespace appletally::control
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -57,6 +57,8 @@
     void endpointsChanged();
 
     const std::shared_ptr<const config::Snapshot>& content() const { return m_content; } // null: none yet
+    size_t subscribers() const { return m_subscribers.size(); }
+    bool isolated() const { return m_isolated; }
     nlohmann::json toJson() const;
 
 private:
--- a/src/appletally/control/documents.cpp
+++ b/src/appletally/control/documents.cpp
@@ -16,6 +16,8 @@
     // it; one that takes longer is out of reach and must find another source first.
     constexpr base::Duration inForceLimit { 600 };
 
+    constexpr size_t mostNodesNamed = 10; // in one line of the log
+
     base::Error notLeading() { return base::fail(base::Code::NotLeader, "another process leads"); }
 
     base::Error errorOf(const config::Outcome& outcome) { return { outcome.code, outcome.text, {} }; }
@@ -116,7 +118,17 @@
         return kj::READY_NOW;
     auto asked = kj::newPromiseAndFulfiller<void>();
     m_inForceWaiters.push_back({ version, kj::mv(asked.fulfiller) });
-    return asked.promise.exclusiveJoin(m_timer.afterDelay(inForceLimit.ms * kj::MILLISECONDS));
+    return asked.promise.exclusiveJoin(m_timer.afterDelay(inForceLimit.ms * kj::MILLISECONDS).then([this, version] { answerBeforeAll(version); }));
+}
+
+void ControlProcess::answerBeforeAll(base::ConfigVersion version)
+{
+    ++m_answeredBeforeAll;
+    const std::vector<base::HostId> lacking = nodesBelow(m_convergence, version);
+    std::string names;
+    for (size_t n = 0; n < std::min(lacking.size(), mostNodesNamed); ++n)
+        names += " " + lacking[n].text;
+    base::logEvent(base::Event::AnsweredBeforeAll, "version " + std::to_string(version.value) + ": " + std::to_string(lacking.size()) + " of " + std::to_string(m_convergence.nodes.size()) + " nodes have not confirmed it after " + std::to_string(inForceLimit.ms) + " ms:" + names);
 }
 
 void ControlProcess::wakeInForceWaiters()
@@ -134,12 +146,9 @@
 // The one that most upstreams of the service run, besides the one that is to take over.
 base::UpstreamVersion ControlProcess::versionWithTraffic(const base::ServiceName& service, const base::UpstreamVersion& besides) const
 {
-    std::map<base::UpstreamVersion, size_t> counts;
-    for (const auto& [host, it] : m_endpoints.entries) {
-        const bool ready = !it.ranOut && it.endpoint.service == service && it.endpoint.state == config::EndpointState::Ready;
-        if (ready && it.endpoint.version != besides && !it.endpoint.version.empty())
-            ++counts[it.endpoint.version];
-    }
+    config::ReadyByVersion counts = config::readyUpstreams(m_endpoints, service);
+    counts.erase(besides);
+    counts.erase(base::UpstreamVersion {});
     const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
     return most == counts.end() ? base::UpstreamVersion {} : most->first;
 }
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -6,6 +6,39 @@
 
 namespace appletally::control {
 
+namespace {
+
+    using ReadyByService = std::map<base::ServiceName, config::ReadyByVersion>;
+
+    std::string labelsOf(const base::ServiceName& service, const base::UpstreamVersion& version)
+    {
+        return "service=\"" + service.text + "\",version=\"" + version.text + "\"";
+    }
+
+    bool isServed(const config::Service& service, const ReadyByService& ready)
+    {
+        const auto it = ready.find(service.name);
+        if (it == ready.end())
+            return false;
+        return service.versions.empty() || std::any_of(service.versions.begin(), service.versions.end(), [&](const config::VersionShare& share) { return share.share.value > 0 && it->second.contains(share.version); });
+    }
+
+    void writeServiceMetrics(base::MetricsText& out, const config::Snapshot& snapshot, const ReadyByService& ready)
+    {
+        for (const auto& [service, versions] : ready) {
+            for (const auto& [version, n] : versions)
+                out.add("appletally_service_upstreams", labelsOf(service, version), static_cast<double>(n));
+        }
+        for (const auto& [name, service] : snapshot.services) {
+            for (const config::VersionShare& it : service.versions)
+                out.add("appletally_service_share", labelsOf(name, it.version), it.share.value);
+        }
+        const auto unserved = std::count_if(snapshot.services.begin(), snapshot.services.end(), [&](const auto& it) { return !isServed(it.second, ready); });
+        out.add("appletally_services_unserved", "", static_cast<double>(unserved));
+    }
+
+} // namespace
+
 std::string ControlProcess::metrics() const
 {
     base::MetricsText out;
@@ -33,6 +66,10 @@
     add("appletally_nodes", "newest=\"yes\"", current);
     add("appletally_nodes", "newest=\"no\"", m_convergence.nodes.size() - current);
     add("appletally_known_upstreams", "state=\"any\"", m_endpoints.entries.size());
+    add("appletally_answered_before_all_total", "", m_answeredBeforeAll);
+    add("appletally_subscribers", "", m_distributor.subscribers());
+    add("appletally_source_isolated", "", m_distributor.isolated() ? 1 : 0);
+    writeServiceMetrics(out, m_state.snapshot, config::readyUpstreams(m_endpoints));
     add("appletally_rollouts", "state=\"running\"", m_state.snapshot.rollouts.size());
     add("appletally_rollouts", "state=\"ended\"", m_state.ended.size());
     if (m_replica)
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -263,7 +263,7 @@
 {
     for (const auto& [id, it] : m_state.snapshot.rollouts) {
         auto old = before.find(id);
-        const std::string text = id.text + ": " + std::to_string(it.share.value) + " per mille for " + it.to.text;
+        const std::string text = id.text + ": " + std::to_string(it.share.value) + " per mille for " + it.to.text + "; " + describeReady(it);
         if (old == before.end())
             base::logEvent(base::Event::RolloutStarted, text);
         else if (old->second.share < it.share)
@@ -276,10 +276,16 @@
         const bool completed = record.end == config::RolloutEnd::Completed;
         const bool takenBack = record.end == config::RolloutEnd::TakenBack;
         const base::Event event = completed ? base::Event::RolloutCompleted : (takenBack ? base::Event::RolloutTakenBack : base::Event::RolloutStopped);
-        base::logEvent(event, id.text + ": " + record.why);
+        base::logEvent(event, id.text + ": " + record.why + "; " + describeReady(it));
     }
 }
 
+std::string ControlProcess::describeReady(const config::Rollout& it) const
+{
+    config::ReadyByVersion ready = config::readyUpstreams(m_endpoints, it.service);
+    return "ready upstreams: " + std::to_string(ready[it.to]) + " of " + it.to.text + ", " + std::to_string(ready[it.from]) + " of " + it.from.text;
+}
+
 void ControlProcess::logVersion() const
 {
     const std::string what = m_state.versions.empty() ? "" : ", " + m_state.versions.back().what;
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -112,7 +112,9 @@
     kj::Promise<base::Result<base::ConfigVersion>> judgeConflict(const std::shared_ptr<const config::Document>&);
     kj::Promise<void> inForceEverywhere(base::ConfigVersion);
     void wakeInForceWaiters();
+    void answerBeforeAll(base::ConfigVersion);
     base::UpstreamVersion versionWithTraffic(const base::ServiceName&, const base::UpstreamVersion& besides) const;
+    std::string describeReady(const config::Rollout&) const;
 
     // Repeated work
     kj::Promise<void> housekeeping();
@@ -148,6 +150,7 @@
     bool m_leading = false;
     bool m_replaying = false; // a start applies what its disk has: logged when it was accepted, and a line each takes time
     base::AnchoredClock m_leadClock = base::anchorNow(); // of the present leadership
+    uint64_t m_answeredBeforeAll = 0; // operators' changes
     size_t m_changesUnderWay = 0; // operators' changes that wait for their answer
     bool m_ownProposal = false; // one of control's own proposals is under way
     bool m_changingMembers = false;
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -200,6 +200,7 @@
         }
         ++m_counters.links;
         m_subscribed = true;
+        base::logEvent(base::Event::SourceTaken, m_link->address.text());
         m_linkedSince = base::steadyNow();
         m_failures = 0;
         policy::succeeded(m_race.sources[m_current].backoff);
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -143,6 +143,8 @@
     count("appletally_requests_total", "outcome=\"refused\"", m_counts.refused);
     count("appletally_requests_total", "outcome=\"unknown\"", m_counts.unknown);
     count("appletally_requests_total", "outcome=\"caller_left\"", m_counts.gone);
+    for (const auto& [by, n] : m_counts.refusedBy)
+        count("appletally_requests_refused_total", ("service=\"" + by.first.text + "\",code=\"" + std::to_string(static_cast<int>(by.second)) + "\"").c_str(), n);
     count("appletally_request_tries_total", "kind=\"retry\"", m_counts.retried);
     count("appletally_request_tries_total", "kind=\"hedge\"", m_counts.hedged);
     out.add("appletally_request_latency_ms", "", m_latency);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -334,6 +334,8 @@
 {
     const bool notRun = base::info(error.code).notRun;
     ++(notRun ? m_counts.refused : m_counts.unknown);
+    if (notRun)
+        ++m_counts.refusedBy[{ it.call.service, error.code }];
     base::logRequest(notRun ? base::Event::RequestRefused : base::Event::OutcomeLost, it.name,
         { { "route", it.route->name.text }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.tries }, { "took_ms", (base::steadyNow() - it.began).ms },
             { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "retry_after_ms", error.retryAfter.ms }, { "config_version", static_cast<int64_t>(it.snapshot->version.value) } });
