--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -92,9 +92,10 @@
 // A source on a real port whose content the test sets.
 class TestSession final : public rpc::Source::Server {
 public:
-    TestSession(control::Distributor& distributor, const uint64_t& floor)
+    TestSession(control::Distributor& distributor, const uint64_t& floor, kj::Promise<void> answersAt)
         : m_distributor(distributor)
         , m_floor(floor)
+        , m_answersAt(kj::mv(answersAt))
     {
     }
     ~TestSession() noexcept(false) { m_distributor.unsubscribe(m_subscriber); }
@@ -107,7 +108,7 @@
             m_subscriber = done.value();
         else
             write(context.getResults().initFailure(), done.error());
-        return kj::READY_NOW;
+        return kj::mv(m_answersAt);
     }
     kj::Promise<void> report(ReportContext) override { return kj::READY_NOW; }
     kj::Promise<void> bootFloor(BootFloorContext context) override
@@ -119,17 +120,19 @@
 private:
     control::Distributor& m_distributor;
     const uint64_t& m_floor;
+    kj::Promise<void> m_answersAt; // to subscribe
     uint64_t m_subscriber = 0;
 };
 
 struct TestSource {
     TestSource(kj::AsyncIoContext& io, control::DistributorLimits limits)
         : distributor(io.provider->getTimer(), limits, endpoints)
-        , port(std::make_unique<RpcPort>(io, Membership { { "mesh" }, {}, { "source" } }, [this](rpc::Role, const base::HostId&) -> rpc::Session::Client { return kj::heap<TestSession>(distributor, floor); }))
+        , port(std::make_unique<RpcPort>(io, Membership { { "mesh" }, {}, { "source" } }, [this, &timer = io.provider->getTimer()](rpc::Role, const base::HostId&) -> rpc::Session::Client { return kj::heap<TestSession>(distributor, floor, timer.afterDelay(linkDelay.ms * kj::MILLISECONDS)); }))
         , address(port->listen({ "127.0.0.1", 0 }).value())
     {
     }
     uint64_t floor = 0;
+    base::Duration linkDelay {}; // from a link's start to the answer to subscribe
     config::EndpointRegistry endpoints;
     control::Distributor distributor;
     std::unique_ptr<RpcPort> port;
@@ -302,6 +305,33 @@
     CHECK(node.versions == std::vector<uint64_t> { 1, 2, 3 });
 }
 
+// Guards against: a node over a crowded link that returns to a source behind a cut, since another isolated one answered late.
+TEST_CASE("nodes that leave isolated sources over slow links stay at connected ones", "[control][distribution]")
+{
+    auto io = kj::setupAsyncIo();
+    TestSource left(io, wide());
+    TestSource alsoCut(io, wide());
+    TestSource well(io, wide());
+    left.distributor.contentReleased(snapshot(1));
+    alsoCut.distributor.contentReleased(snapshot(1));
+    well.distributor.contentReleased(snapshot(2));
+    alsoCut.port->stopListening(); // so that the nodes begin at the first
+    well.port->stopListening();
+    std::vector<std::unique_ptr<TestNode>> nodes;
+    nodes.reserve(24);
+    for (int n = 0; n < 24; ++n)
+        nodes.push_back(std::make_unique<TestNode>(io, std::vector { left.address, alsoCut.address, well.address }));
+    for (const auto& it : nodes)
+        it->waitFor(io, 1);
+    alsoCut.linkDelay = { 400 };
+    REQUIRE(alsoCut.port->listen(alsoCut.address));
+    REQUIRE(well.port->listen(well.address));
+    left.distributor.setIsolated(true);
+    alsoCut.distributor.setIsolated(true);
+    for (const auto& it : nodes)
+        it->waitFor(io, 2);
+}
+
 TEST_CASE("a node does not wait for a source whose host has no power", "[control][distribution]")
 {
     // All hosts lose power; nodes are up again while control hosts are not. What a node sends to such a host is lost without a
@@ -423,6 +453,7 @@
     source.distributor.contentReleased(snapshot(1));
     const base::Time began = base::steadyNow();
     std::vector<std::unique_ptr<TestNode>> nodes;
+    nodes.reserve(24);
     nodes.reserve(200);
     for (int n = 0; n < 200; ++n)
         nodes.push_back(std::make_unique<TestNode>(io, std::vector<base::Address> { source.address }));
