Clients try isolated sources of configuration last

Cause: a control process that has lost most others sends its nodes away and takes back, after 300 ms, those that come at the moment that it named, since they may have found nothing better. The client could not tell this from a source that is merely full: over a crowded link, where it takes longer than 300 ms to be turned away by the next isolated source, the first one was a candidate like those not tried yet, and let the node in. The node then stayed until it was asked again, 20 s later. The record fits: three of seven control processes behind a cut, and acknowledgements that waited for some node until the cut healed.

An isolated source now says so (608), and is tried 2 s after the search began unless all are isolated. Who found nothing better is asked again after 5 s.

--- a/src/appletally/base/result.cpp
+++ b/src/appletally/base/result.cpp
@@ -62,6 +62,7 @@
     { Code::PeerSilent, "peer-silent", 0, false, "no byte from the peer within the limit" },
     { Code::PeerGone, "peer-gone", 0, false, "the peer closed or could not be reached" },
     { Code::ComeBackLater, "come-back-later", 0, true, "the source takes no more now; the answer says when" },
+    { Code::SourceIsolated, "source-isolated", 0, true, "the source has lost most other control processes; the answer says when it takes those who find no better one" },
     { Code::Internal, "internal", 500, false, "a fault in appletally itself; please report it" },
 });
 
--- a/src/appletally/base/result.h
+++ b/src/appletally/base/result.h
@@ -83,6 +83,7 @@
     PeerSilent = 605,
     PeerGone = 606,
     ComeBackLater = 607,
+    SourceIsolated = 608,
 
     Internal = 901,
 };
--- a/src/appletally/control/distributor.cpp
+++ b/src/appletally/control/distributor.cpp
@@ -21,8 +21,8 @@
     // Time enough to try every other source, and short for a mesh in which no source is better.
     constexpr base::Duration isolatedComeBack { 300 };
 
-    // Those who found no better source look again this often; each look costs a reconnect.
-    constexpr base::Duration lookAgain { 20'000 };
+    // Those who found no better source look again this often: one may have come within reach. Each look costs a reconnect.
+    constexpr base::Duration lookAgain { 5'000 };
 
     // A change after a quiet time leaves at once; those that follow are gathered this long. Callers learn of a draining or broken upstream from its own answers at
     // once; through control it only has to be known well within two seconds, and larger batches compress better.
@@ -63,7 +63,7 @@
     }
     if (m_isolated && !promised) {
         ++m_counters.cameBackLater;
-        return base::fail(base::Code::ComeBackLater, "this source has lost the other control processes", isolatedComeBack);
+        return base::fail(base::Code::SourceIsolated, "this source has lost the other control processes", isolatedComeBack);
     }
     const policy::Entry entry = policy::admit(m_limits.starts, promised, base::steadyNow(), inner::randomNumber());
     if (!entry.letIn) {
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -43,7 +43,7 @@
     // `endpoints` must outlive the distributor; endpointsChanged() says that there is news in it.
     Distributor(kj::Timer&, DistributorLimits, const config::EndpointRegistry& endpoints);
 
-    // Overloaded sources answer ComeBackLater. The number is for unsubscribe(), which repeats harmlessly.
+    // Overloaded sources answer ComeBackLater, those without the other control processes SourceIsolated. The number is for unsubscribe(), which repeats harmlessly.
     base::Result<uint64_t> subscribe(const base::HostId& who, base::ConfigVersion have, config::EndpointCursor, inner::rpc::Feed::Client, bool promised);
     void unsubscribe(uint64_t subscriber);
 
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -60,8 +60,8 @@
     kj::Promise<void> leave(LeaveContext context) override
     {
         refuseOld();
-        m_client.m_comeBack = base::Duration { context.getParams().getComeBackMs() };
-        m_client.m_refused->fulfill(base::fail(base::Code::ComeBackLater, "the source has lost the other control processes"));
+        m_client.m_refusal = policy::SourceRefusal { base::Duration { context.getParams().getComeBackMs() }, true };
+        m_client.m_refused->fulfill(base::fail(base::Code::SourceIsolated, "the source has lost the other control processes"));
         return kj::READY_NOW;
     }
 
@@ -87,6 +87,7 @@
     , m_linkTasks(kj::heap<kj::TaskSet>(*this))
 {
     addSources(m_settings.sources);
+    policy::beginSearch(m_race, base::steadyNow());
     m_running = run().eagerlyEvaluate([this](kj::Exception&& problem) { taskFailed(kj::mv(problem)); });
 }
 
@@ -165,7 +166,7 @@
         m_wake->fulfill();
 }
 
-void SourceClient::sourceFailed(size_t source, std::optional<base::Duration> told)
+void SourceClient::sourceFailed(size_t source, std::optional<policy::SourceRefusal> told)
 {
     m_race.sources[source].backoff.urgent = !m_applied.inForce;
     policy::tryFailed(m_race, source, told, base::steadyNow(), randomNumber());
@@ -193,9 +194,11 @@
     return ask.send().then([this](auto&& answer) -> kj::Promise<void> {
         if (failed(answer.getFailure())) {
             const base::Error problem = read(answer.getFailure());
-            m_counters.cameBackLater += problem.code == base::Code::ComeBackLater;
-            if (problem.code == base::Code::ComeBackLater)
-                m_comeBack = problem.retryAfter;
+            const bool isolated = problem.code == base::Code::SourceIsolated;
+            if (isolated || problem.code == base::Code::ComeBackLater) {
+                ++m_counters.cameBackLater;
+                m_refusal = policy::SourceRefusal { problem.retryAfter, isolated };
+            }
             return KJ_EXCEPTION(OVERLOADED, "refused by the source", problem.text);
         }
         ++m_counters.links;
@@ -232,14 +235,16 @@
         m_counters.bytesIn += m_link->connection->bytesIn();
         m_counters.bytesOut += m_link->connection->bytesOut();
     }
-    if (m_subscribed)
+    if (m_subscribed) {
         base::logEvent(base::Event::LinkDown, m_link->address.text() + ": " + problem.text);
+        policy::beginSearch(m_race, base::steadyNow());
+    }
     m_subscribed = false;
     m_reporting = false;
     m_linkTasks = kj::heap<kj::TaskSet>(*this);
     ++m_generation;
     m_link = nullptr;
-    sourceFailed(m_current, std::exchange(m_comeBack, std::nullopt));
+    sourceFailed(m_current, std::exchange(m_refusal, std::nullopt));
 }
 
 void SourceClient::setReachable(bool reachable)
--- a/src/appletally/policy/source_race.cpp
+++ b/src/appletally/policy/source_race.cpp
@@ -15,7 +15,16 @@
         return std::accumulate(it.sources.begin(), it.sources.end(), size_t { 0 }, [](size_t sum, const RaceSource& each) { return sum + each.tries; });
     }
 
-    base::Time mayBegin(const RaceSource& it) { return it.tries == 0 ? it.notBefore : std::max(it.notBefore, it.lastBegan + sameAgainAfter); }
+    bool allIsolated(const SourceRace& it)
+    {
+        return std::all_of(it.sources.begin(), it.sources.end(), [](const RaceSource& each) { return each.isolated; });
+    }
+
+    base::Time mayBegin(const SourceRace& race, const RaceSource& it)
+    {
+        const base::Time again = it.tries == 0 ? it.notBefore : std::max(it.notBefore, it.lastBegan + sameAgainAfter);
+        return it.isolated && !allIsolated(race) ? std::max(again, race.searchBegan + lastResortAfter) : again;
+    }
 
     // Not before the newest try under way, at whichever source, has had its time.
     base::Time staggered(const SourceRace& it, base::Time now)
@@ -27,9 +36,11 @@
         return now;
     }
 
-    // Whether `a` has waited longer for a try than `b`.
+    // Whether `a` is to be tried before `b`; of equals, the one that has waited longer.
     bool goesFirst(const RaceSource& a, const RaceSource& b)
     {
+        if (a.isolated != b.isolated)
+            return b.isolated;
         if (a.tries == 0 || b.tries == 0)
             return a.tries == 0 && b.tries != 0;
         return a.lastBegan < b.lastBegan;
@@ -37,6 +48,13 @@
 
 } // namespace
 
+void beginSearch(SourceRace& it, base::Time now)
+{
+    it.searchBegan = now;
+    for (RaceSource& each : it.sources)
+        each.isolated = false;
+}
+
 std::optional<size_t> nextTry(SourceRace& it, base::Time now, uint64_t random)
 {
     if (it.sources.empty() || allTries(it) >= mostTries || staggered(it, now) > now)
@@ -45,7 +63,7 @@
     const size_t start = random % it.sources.size();
     for (size_t n = 0; n < it.sources.size(); ++n) {
         const size_t source = (start + n) % it.sources.size();
-        if (mayBegin(it.sources[source]) <= now && (!best || goesFirst(it.sources[source], it.sources[*best])))
+        if (mayBegin(it, it.sources[source]) <= now && (!best || goesFirst(it.sources[source], it.sources[*best])))
             best = source;
     }
     if (best) {
@@ -62,16 +80,18 @@
         return earliest;
     const base::Time next = staggered(it, now);
     for (const RaceSource& each : it.sources)
-        earliest = std::min(earliest, std::max(mayBegin(each), next));
+        earliest = std::min(earliest, std::max(mayBegin(it, each), next));
     return earliest;
 }
 
-void tryFailed(SourceRace& it, size_t source, std::optional<base::Duration> told, base::Time now, uint64_t random)
+void tryFailed(SourceRace& it, size_t source, std::optional<SourceRefusal> told, base::Time now, uint64_t random)
 {
     RaceSource& each = it.sources[source];
     each.tries -= std::min<size_t>(each.tries, 1);
     each.promised = told.has_value();
-    each.notBefore = now + waitAfterFailure(each.backoff, told, random);
+    each.isolated = told && told->isolated;
+    const auto comeBackIn = told ? std::optional(told->comeBackIn) : std::nullopt;
+    each.notBefore = now + waitAfterFailure(each.backoff, comeBackIn, random);
 }
 
 void endRace(SourceRace& it)
--- a/src/appletally/policy/source_race.h
+++ b/src/appletally/policy/source_race.h
@@ -5,6 +5,10 @@
 // the client serves an old version for as long as its link is crowded. Waited for, it costs a second wherever a source had
 // no power when it was asked. So a slow try goes on, and others begin beside it, at other sources first and then at the
 // same ones; whichever connects first is taken.
+//
+// A source that has lost most other control processes is reachable, quick, and behind. It sends its clients away and has
+// to take back those that find nothing better, so it is tried last: a client that goes back to it as soon as it may, while
+// it is still being turned away elsewhere, keeps an old version for as long as the cut lasts.
 #pragma once
 
 #include "appletally/base/ids.h"
@@ -24,27 +28,41 @@
 // Connects are answered by the kernel and cost their source next to nothing.
 constexpr size_t mostTries = 8;
 
+// While other sources may still be tried, an isolated one waits this long: enough for several of them over a crowded link.
+constexpr base::Duration lastResortAfter { 2000 };
+
+// What a source said that took no client.
+struct SourceRefusal {
+    base::Duration comeBackIn;
+    bool isolated = false; // it has lost most other control processes
+};
+
 struct RaceSource {
     Backoff backoff;
     base::Time notBefore;
     bool promised = false; // it named the moment notBefore itself
+    bool isolated = false; // said so in this search
     size_t tries = 0; // under way
     base::Time lastBegan; // meaningless without tries
 };
 
 struct SourceRace {
     std::vector<RaceSource> sources;
+    base::Time searchBegan;
 };
 
-// A source to try now, counted as being tried: one without a try, else the one whose last try is oldest. Among several
-// without one any, so that a herd spreads. Empty: none yet, see nextLook.
+// The client has no source any more, or none yet. What sources said before is old news.
+void beginSearch(SourceRace&, base::Time now);
+
+// A source to try now, counted as being tried: one without a try, else the one whose last try is oldest, isolated ones
+// last. Among several without one any, so that a herd spreads. Empty: none yet, see nextLook.
 std::optional<size_t> nextTry(SourceRace&, base::Time now, uint64_t random);
 
 // When to ask again, unless a try ends before.
 base::Time nextLook(const SourceRace&, base::Time now);
 
-// A try, or the link that came of one, failed. `told`: the source said when to come back.
-void tryFailed(SourceRace&, size_t source, std::optional<base::Duration> told, base::Time now, uint64_t random);
+// A try, or the link that came of one, failed. `told`: the source answered, and said when to come back.
+void tryFailed(SourceRace&, size_t source, std::optional<SourceRefusal> told, base::Time now, uint64_t random);
 
 // A try won; the others are dropped and count as no failures.
 void endRace(SourceRace&);
--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -332,6 +332,26 @@
         it->waitFor(io, 2);
 }
 
+// Guards against: a node that found only an isolated source and stays there long after a connected one is within reach.
+TEST_CASE("a node at an isolated source finds a connected one that comes within reach", "[control][distribution]")
+{
+    auto io = kj::setupAsyncIo();
+    TestSource cut(io, wide());
+    TestSource well(io, wide());
+    cut.distributor.contentReleased(snapshot(1));
+    well.distributor.contentReleased(snapshot(2));
+    well.port->stopListening();
+    TestNode node(io, { cut.address, well.address });
+    node.waitFor(io, 1);
+    cut.distributor.setIsolated(true);
+    const auto subscribed = [&] { return cut.distributor.toJson()["subscribed"].get<int>(); };
+    while (subscribed() < 2)
+        io.provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(io.waitScope);
+    REQUIRE(well.port->listen(well.address));
+    node.waitFor(io, 2);
+    CHECK(subscribed() <= 3);
+}
+
 TEST_CASE("a node does not wait for a source whose host has no power", "[control][distribution]")
 {
     // All hosts lose power; nodes are up again while control hosts are not. What a node sends to such a host is lost without a
@@ -453,7 +473,6 @@
     source.distributor.contentReleased(snapshot(1));
     const base::Time began = base::steadyNow();
     std::vector<std::unique_ptr<TestNode>> nodes;
-    nodes.reserve(24);
     nodes.reserve(200);
     for (int n = 0; n < 200; ++n)
         nodes.push_back(std::make_unique<TestNode>(io, std::vector<base::Address> { source.address }));
--- a/tests/source_race_test.cpp
+++ b/tests/source_race_test.cpp
@@ -119,10 +119,41 @@
 
     const auto source = nextTry(race, { 6000 }, 7);
     REQUIRE(source);
-    tryFailed(race, *source, Duration { 400 }, { 6001 }, 7);
+    tryFailed(race, *source, SourceRefusal { { 400 } }, { 6001 }, 7);
     CHECK(race.sources[*source].promised);
     CHECK(race.sources[*source].notBefore == Time { 6401 });
     const auto next = nextTry(race, { 6001 }, *source); // refused at once: another one has its turn at once
     REQUIRE(next);
     CHECK(next != source);
 }
+
+// Guards against: a client that returns to an isolated source at the moment that it named, before others have been tried.
+TEST_CASE("isolated sources are tried once the others had their chance", "[policy][reconnect]")
+{
+    SourceRace race;
+    race.sources.resize(3);
+    beginSearch(race, { 1000 });
+    tryFailed(race, 0, SourceRefusal { { 300 }, true }, { 1000 }, 7);
+    tryFailed(race, 1, SourceRefusal { { 300 }, true }, { 1400 }, 7);
+    CHECK(nextTry(race, { 1800 }, 0) == 2);
+    tryFailed(race, 2, std::nullopt, { 1850 }, 0);
+    CHECK(nextTry(race, { 1900 }, 0) == 2);
+    endRace(race);
+    tryFailed(race, 2, SourceRefusal { { 5000 } }, { 1950 }, 7);
+    CHECK_FALSE(nextTry(race, { 2999 }, 0));
+    CHECK(nextLook(race, { 2999 }) == Time { 3000 });
+    CHECK(nextTry(race, { 3000 }, 0) == 0);
+    CHECK(race.sources[0].promised);
+}
+
+// Guards against: clients without any source where all of them are isolated.
+TEST_CASE("where all sources are isolated each is tried at the moment that it named", "[policy][reconnect]")
+{
+    SourceRace race;
+    race.sources.resize(2);
+    beginSearch(race, { 1000 });
+    tryFailed(race, 0, SourceRefusal { { 300 }, true }, { 1000 }, 7);
+    tryFailed(race, 1, SourceRefusal { { 300 }, true }, { 1100 }, 7);
+    CHECK_FALSE(nextTry(race, { 1299 }, 0));
+    CHECK(nextTry(race, { 1300 }, 0) == 0);
+}
