Rollouts rise and complete only with ready upstreams of the new version

Cause: an operator ordered a rollout, the leader went silent before it answered, and the next leader carried the order out. The operator had given up and never started the new version. The ladder took each rung when the schedule asked for it, 'nothing speaks against it': of a version that nothing runs there are no bad answers. The last rung left the service without upstreams, and completion made that durable. The class is evidence that is taken as good because it is absent.

A rung is now taken only with a ready upstream of the new version, the last one and completion only with half as many as of the old version; a rollout that lacks them when its time is up, for 3 s, is taken back.

--- a/src/appletally/control/duties.cpp
+++ b/src/appletally/control/duties.cpp
@@ -200,7 +200,7 @@
 {
     if (m_rollouts.running.size() != m_state.running.size() || !std::equal(m_rollouts.running.begin(), m_rollouts.running.end(), m_state.running.begin(), [](const auto& a, const auto& b) { return a.first == b.first; }))
         follow(m_rollouts, m_state, toReport(m_all).evidence);
-    for (const config::Command& it : stepRollouts(m_rollouts, m_state, leadNow()))
+    for (const config::Command& it : stepRollouts(m_rollouts, m_state, m_endpoints, leadNow()))
         proposeOwn(it);
 }
 
--- a/src/appletally/control/rollout_runner.cpp
+++ b/src/appletally/control/rollout_runner.cpp
@@ -44,14 +44,20 @@
     return std::nullopt;
 }
 
-std::vector<config::Command> stepRollouts(RolloutRunner& runner, const config::State& state, base::WallTime now)
+static policy::VersionUpstreams upstreamsOf(const config::Rollout& plan, const config::EndpointRegistry& endpoints)
+{
+    config::ReadyByVersion ready = config::readyUpstreams(endpoints, plan.service);
+    return { ready[plan.to], ready[plan.from] };
+}
+
+std::vector<config::Command> stepRollouts(RolloutRunner& runner, const config::State& state, const config::EndpointRegistry& endpoints, base::WallTime now)
 {
     std::vector<config::Command> out;
     for (auto& [id, rollout] : runner.running) {
         auto plan = state.snapshot.rollouts.find(id);
         if (plan == state.snapshot.rollouts.end())
             continue;
-        if (auto command = toCommand(plan->second, policy::stepRollout(rollout, plan->second, now, true)))
+        if (auto command = toCommand(plan->second, policy::stepRollout(rollout, plan->second, upstreamsOf(plan->second, endpoints), now, true)))
             out.push_back(std::move(*command));
     }
     // Callers of a bad version wait for nothing else.
--- a/src/appletally/control/rollout_runner.h
+++ b/src/appletally/control/rollout_runner.h
@@ -4,6 +4,7 @@
 // rollout. A deposed leader's late command names the share that it started from and is refused by the state machine.
 #pragma once
 
+#include "appletally/config/endpoint_registry.h"
 #include "appletally/config/state_machine.h"
 #include "appletally/policy/rollout.h"
 
@@ -22,6 +23,6 @@
 void onEvidence(RolloutRunner&, const config::State&, const std::vector<config::Evidence>&);
 
 // The commands to propose now, most urgent first.
-std::vector<config::Command> stepRollouts(RolloutRunner&, const config::State&, base::WallTime now);
+std::vector<config::Command> stepRollouts(RolloutRunner&, const config::State&, const config::EndpointRegistry&, base::WallTime now);
 
 } // namespace appletally::control
--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -364,9 +364,36 @@
         }
     }
 
-    RolloutStep climb(RolloutState& state, const config::Rollout& plan, double worst, base::WallTime now)
+    // Upstreams that restart are away for about as long, and a new leader hears of all within it.
+    constexpr base::Duration lackingIsFinal { 3000 };
+
+    // Operators may stop the old upstreams once the rollout has completed.
+    bool carryAll(const VersionUpstreams& it) { return it.to > 0 && 2 * it.to >= it.from; }
+
+    std::string describe(const VersionUpstreams& it, const config::Rollout& plan)
+    {
+        return std::to_string(it.to) + " upstreams of version " + plan.to.text + " are ready beside " + std::to_string(it.from) + " of " + plan.from.text;
+    }
+
+    // Whether the time is up and the new version's upstreams have been too few for a while. Without any of the old version
+    // control has not heard of the upstreams yet, or there is nothing to go back to.
+    bool lacksUpstreams(RolloutState& state, const config::Rollout& plan, const VersionUpstreams& upstreams, base::WallTime now)
+    {
+        if (carryAll(upstreams) || upstreams.from == 0) {
+            state.lackingSince.reset();
+            return false;
+        }
+        if (!state.lackingSince)
+            state.lackingSince = now;
+        return now >= plan.completeBy && now - *state.lackingSince >= lackingIsFinal;
+    }
+
+    RolloutStep climb(RolloutState& state, const config::Rollout& plan, const VersionUpstreams& upstreams, double worst, base::WallTime now)
     {
         const RolloutRung* rung = nextRung(state, plan);
+        const bool toAll = !rung || rung == &state.settings.ladder.back();
+        if (upstreams.to == 0 || (toAll && !carryAll(upstreams)))
+            return keep(plan, describe(upstreams, plan));
         if (!rung) {
             if (now - state.lastRise < lastRunsEnd)
                 return keep(plan, "requests still run at the old version");
@@ -420,7 +447,7 @@
     state.routes[evidence.route];
 }
 
-RolloutStep stepRollout(RolloutState& state, const config::Rollout& plan, base::WallTime now, bool controlReachable)
+RolloutStep stepRollout(RolloutState& state, const config::Rollout& plan, const VersionUpstreams& upstreams, base::WallTime now, bool controlReachable)
 {
     if (state.final)
         return *state.final;
@@ -433,13 +460,15 @@
         verdict.why = "most hosts of version " + plan.to.text + " stopped it by their own evidence";
     if (verdict.why.empty() && failsWhileCold(state, plan.to))
         verdict.why = "version " + plan.to.text + " fails while it starts and does not get warm";
+    if (verdict.why.empty() && lacksUpstreams(state, plan, upstreams, now))
+        verdict.why = "the time is up and " + describe(upstreams, plan);
     if (!verdict.why.empty()) {
         state.final = RolloutStep { RolloutAction::TakeBack, { 0 }, verdict.why };
         return *state.final;
     }
     if (!controlReachable)
         return keep(plan, "control is not reachable, so the share stays");
-    RolloutStep step = climb(state, plan, verdict.worst, now);
+    RolloutStep step = climb(state, plan, upstreams, verdict.worst, now);
     if (step.action == RolloutAction::Complete)
         state.final = step;
     return step;
--- a/src/appletally/policy/rollout.h
+++ b/src/appletally/policy/rollout.h
@@ -9,6 +9,10 @@
 // by a sequential test (sequential_test.h) of failures, of latency beyond the accepted factor, and of stalls far beyond
 // it. The share follows a ladder whose steps are taken on good evidence, or without it when `completeBy` asks for them.
 //
+// A version that nothing runs has no evidence against it either. So no step is taken without ready upstreams of the new
+// version, the last ones only with enough of them to carry the service alone, and a rollout that lacks them when it should
+// have completed is taken back.
+//
 // Pure: plan, evidence and times in; one step with its reason out. Control runs one per rollout and makes each outcome a
 // new configuration version. Without control nothing rises: only control makes versions.
 #pragma once
@@ -105,10 +109,17 @@
     std::map<base::HostId, std::array<SequentialTest, badnessKinds>> hostTests;
 };
 
+// Ready upstreams of a rollout's two versions, as control knows them.
+struct VersionUpstreams {
+    size_t to = 0;
+    size_t from = 0;
+};
+
 struct RolloutState {
     RolloutSettings settings;
     base::WallTime startedAt;
     base::WallTime lastRise;
+    std::optional<base::WallTime> lackingSince; // too few upstreams of the new version beside those of the old one
     EvidenceBook book;
     std::map<base::RouteName, RolloutRoute> routes;
     std::array<SequentialTest, badnessKinds> allRoutes; // pooled: finds what is thin on each route by itself
@@ -128,6 +139,6 @@
 void onEvidence(RolloutState&, const config::Evidence&);
 
 // `plan` is the rollout as it is in force now. Call after reports came in and at least every 200 ms.
-RolloutStep stepRollout(RolloutState&, const config::Rollout& plan, base::WallTime now, bool controlReachable);
+RolloutStep stepRollout(RolloutState&, const config::Rollout& plan, const VersionUpstreams&, base::WallTime now, bool controlReachable);
 
 } // namespace appletally::policy
--- a/tests/rollout_test.cpp
+++ b/tests/rollout_test.cpp
@@ -224,13 +224,13 @@
     onEvidence(state, reportOfHost("a", 3, 3, true));
     onEvidence(state, reportOfHost("b", 3, 0, false));
     onEvidence(state, reportOfHost("c", 3, 0, false));
-    CHECK(stepRollout(state, plan, { 1000 }, true).action != RolloutAction::TakeBack);
+    CHECK(stepRollout(state, plan, { 3, 3 }, { 1000 }, true).action != RolloutAction::TakeBack);
     onEvidence(state, reportOfHost("b", 6, 3, true));
-    CHECK(stepRollout(state, plan, { 1200 }, true).action == RolloutAction::TakeBack);
+    CHECK(stepRollout(state, plan, { 3, 3 }, { 1200 }, true).action == RolloutAction::TakeBack);
     for (const char* host : { "a", "b", "c" })
         onEvidence(state, reportOfHost(host, 5000, 3, false));
     state.book.stopped.clear();
-    CHECK(stepRollout(state, plan, { 9000 }, true).action == RolloutAction::TakeBack);
+    CHECK(stepRollout(state, plan, { 3, 3 }, { 9000 }, true).action == RolloutAction::TakeBack);
 }
 
 TEST_CASE("latency limits inside a bin count the part above them", "[rollout]")
--- a/tests/rollout_world.h
+++ b/tests/rollout_world.h
@@ -324,7 +324,7 @@
         if (m_final != RolloutAction::Keep)
             return;
         m_plan.share = { m_wanted };
-        const RolloutStep step = stepRollout(m_state, m_plan, m_now, !controlGone());
+        const RolloutStep step = stepRollout(m_state, m_plan, { static_cast<size_t>(m_case.newHosts), static_cast<size_t>(m_case.oldHosts) }, m_now, !controlGone());
         if (step.action == RolloutAction::Keep)
             return;
         if (controlGone() && step.action != RolloutAction::TakeBack)
