The version that had the traffic stands in for one without upstreams

A service now names its stand-in: the old version while a rollout runs, afterwards the one that had the traffic until the last completed rollout. Nodes send it only what no version with a share has an upstream for, so a version that was taken back or is on trial gets nothing by it.

--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -146,6 +146,8 @@
     writeMember(out, "name", it.name.text);
     writeMember(out, "retry_budget", int64_t { it.retryBudget.value });
     writeMember(out, "slots", int64_t { it.slots });
+    if (!it.standIn.empty())
+        writeMember(out, "stand_in", it.standIn.text);
     writeKey(out, "versions");
     out.StartArray();
     for (const VersionShare& share : it.versions) {
@@ -172,6 +174,7 @@
         share.finish();
     }
     out.retryBudget = readPerMille(it, "retry_budget");
+    out.standIn.text = it.text("stand_in", "");
     it.finish();
     return out;
 }
--- a/src/appletally/config/model.h
+++ b/src/appletally/config/model.h
@@ -61,6 +61,7 @@
     int slots = 10; // requests that one upstream runs at once, unless it announces fewer
     int mostConnections = 100; // connections that one upstream takes
     std::vector<VersionShare> versions; // empty: any announced version takes traffic
+    base::UpstreamVersion standIn; // had all traffic before; takes what no version with a share has an upstream for. Empty: none
     base::PerMille retryBudget { 100 }; // retries per thousand first tries
     bool operator==(const Service&) const = default;
 };
--- a/src/appletally/config/state_codec.cpp
+++ b/src/appletally/config/state_codec.cpp
@@ -154,6 +154,8 @@
         for (const auto& [service, version] : state.traffic) {
             Json entry = { { "service", service.text } };
             putText(entry, "version", version.text);
+            if (const auto before = state.trafficBefore.find(service); before != state.trafficBefore.end())
+                putText(entry, "before", before->second.text);
             out.push_back(entry);
         }
         return out;
@@ -254,6 +256,8 @@
         for (JsonReader& it : top.objects("traffic")) {
             const base::ServiceName service { it.text("service") };
             out.traffic[service] = { it.text("version", "") };
+            if (it.has("before"))
+                out.trafficBefore[service] = { it.text("before") };
             it.finish();
         }
         for (JsonReader& it : top.objects("running")) {
--- a/src/appletally/config/state_machine.cpp
+++ b/src/appletally/config/state_machine.cpp
@@ -21,6 +21,7 @@
     struct Candidate {
         Snapshot snapshot;
         std::map<base::ServiceName, base::UpstreamVersion> traffic;
+        std::map<base::ServiceName, base::UpstreamVersion> trafficBefore;
     };
 
     Outcome refuse(const State& state, Code code, std::string text, OperatorId winner = {})
@@ -36,15 +37,26 @@
             service.versions.clear();
             if (it != candidate.traffic.end() && !it->second.empty())
                 service.versions = { { it->second, { 1000 } } };
+            const auto before = candidate.trafficBefore.find(name);
+            service.standIn = before != candidate.trafficBefore.end() ? before->second : base::UpstreamVersion {};
         }
         for (const auto& [id, rollout] : candidate.snapshot.rollouts) {
             const auto it = candidate.snapshot.services.find(rollout.service);
-            if (it != candidate.snapshot.services.end())
-                it->second.versions = { { rollout.from, { 1000 - rollout.share.value } }, { rollout.to, rollout.share } };
+            if (it == candidate.snapshot.services.end())
+                continue;
+            it->second.versions = { { rollout.from, { 1000 - rollout.share.value } }, { rollout.to, rollout.share } };
+            it->second.standIn = rollout.from;
         }
     }
 
-    Candidate startFrom(const State& state) { return { state.snapshot, state.traffic }; }
+    void forgetTrafficOfGone(Candidate& candidate)
+    {
+        const auto isGone = [&](const auto& it) { return !candidate.snapshot.services.contains(it.first); };
+        std::erase_if(candidate.traffic, isGone);
+        std::erase_if(candidate.trafficBefore, isGone);
+    }
+
+    Candidate startFrom(const State& state) { return { state.snapshot, state.traffic, state.trafficBefore }; }
 
     struct Change {
         base::LogIndex index;
@@ -73,6 +85,7 @@
         candidate.snapshot.version = { change.index.value };
         state.snapshot = std::move(candidate.snapshot);
         state.traffic = std::move(candidate.traffic);
+        state.trafficBefore = std::move(candidate.trafficBefore);
         state.versions.push_back({ state.snapshot.version, change.at, change.by, change.what, std::move(lines) });
         boundHistory(state.versions, keptVersions);
         return { Code::Ok, "", state.snapshot.version, {}, {} };
@@ -125,8 +138,7 @@
             if (!wasSame && !it.firstVersion.empty() && it.firstVersion != has->second)
                 return base::fail(Code::AnswersInvalid, "service " + it.name.text + ": version " + has->second.text + " has the traffic; start a rollout to change that");
         }
-        for (auto it = candidate.traffic.begin(); it != candidate.traffic.end();)
-            it = candidate.snapshot.services.contains(it->first) ? std::next(it) : candidate.traffic.erase(it);
+        forgetTrafficOfGone(candidate);
         for (const auto& [id, rollout] : state.snapshot.rollouts) {
             if (!candidate.snapshot.services.contains(rollout.service))
                 return base::fail(Code::RolloutConflict, "service " + rollout.service.text + " has rollout " + id.text + " under way; stop it first");
@@ -262,6 +274,8 @@
         Candidate candidate = startFrom(state);
         candidate.snapshot.rollouts.erase(id);
         candidate.traffic[rollout.service] = ending.end == RolloutEnd::Completed ? rollout.to : rollout.from;
+        if (ending.end == RolloutEnd::Completed)
+            candidate.trafficBefore[rollout.service] = rollout.from;
         Outcome out = commit(state, std::move(candidate), { index, ending.at, ending.by, "rollout " + id.text + " " + endName(ending.end) });
         if (out.code != Code::Ok)
             return out;
@@ -447,7 +461,7 @@
         }
         for (const base::RolloutId& id : orphans)
             candidate.snapshot.rollouts.erase(id);
-        std::erase_if(candidate.traffic, [&](const auto& it) { return !candidate.snapshot.services.contains(it.first); });
+        forgetTrafficOfGone(candidate);
         Outcome out = commit(state, std::move(candidate), { index, command.at, "document", "document " + std::to_string(command.id.number.value) });
         if (out.code != Code::Ok)
             return out;
--- a/src/appletally/config/state_machine.h
+++ b/src/appletally/config/state_machine.h
@@ -103,6 +103,7 @@
     Snapshot snapshot; // in force; its version is that of the last entry that changed it
     std::map<std::string, TeamRecord> teams;
     std::map<base::ServiceName, base::UpstreamVersion> traffic; // who has it where no rollout runs
+    std::map<base::ServiceName, base::UpstreamVersion> trafficBefore; // who had it until the last rollout that completed; keys are among those of traffic
     std::map<base::RolloutId, RunningRollout> running; // keys equal those of snapshot.rollouts
     std::map<base::OperatorId, OperatorRecord> operators;
     std::deque<VersionRecord> versions; // oldest first
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -20,7 +20,7 @@
         const auto it = ready.find(service.name);
         if (it == ready.end())
             return false;
-        return service.versions.empty() || std::any_of(service.versions.begin(), service.versions.end(), [&](const config::VersionShare& share) { return share.share.value > 0 && it->second.contains(share.version); });
+        return service.versions.empty() || it->second.contains(service.standIn) || std::any_of(service.versions.begin(), service.versions.end(), [&](const config::VersionShare& share) { return share.share.value > 0 && it->second.contains(share.version); });
     }
 
     void writeServiceMetrics(base::MetricsText& out, const config::Snapshot& snapshot, const ReadyByService& ready)
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -150,7 +150,7 @@
             if (!others.empty())
                 return others;
         }
-        return found;
+        return found.empty() && !it.standIn.empty() ? usableTargets(it, request, &it.standIn, now) : found;
     }
 
     double fading(base::Time since, double halfLife, base::Time now)
@@ -373,8 +373,9 @@
     }
 }
 
-void setShares(Router& it, std::span<const config::VersionShare> shares, uint64_t random)
+void setShares(Router& it, std::span<const config::VersionShare> shares, uint64_t random, const base::UpstreamVersion& standIn)
 {
+    it.standIn = standIn;
     it.shares.clear();
     it.turns.clear();
     it.turnSeed = random;
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -79,6 +79,7 @@
     base::ZoneName zone; // the node's own
     std::map<base::HostId, Target> targets;
     std::map<base::UpstreamVersion, base::PerMille> shares; // empty: any version takes traffic
+    base::UpstreamVersion standIn; // for versions with a share that have no upstream; empty: none
     std::map<base::RouteName, Turns> turns;
     uint64_t turnSeed = 0;
     std::map<base::RouteName, RoutePace> routes;
@@ -123,10 +124,11 @@
 
 // `random` sets where in the sequence of turns this node begins, so that a thousand nodes that boot together don't
 // send their first request all to the same version.
-void setShares(Router&, std::span<const config::VersionShare>, uint64_t random);
+void setShares(Router&, std::span<const config::VersionShare>, uint64_t random, const base::UpstreamVersion& standIn = {});
 
 // None: no upstream may take it; of a version that has no upstream left, the turn goes to one with at least its share,
-// never to one with less: a new version on trial is not the old one's stand-in.
+// never to one with less: a new version on trial is not the old one's stand-in. Where that leaves none, to the service's
+// stand-in, which has had all traffic before.
 // A pick counts as in flight until answered() is called for it, exactly once.
 std::optional<Pick> pick(Router&, const PickRequest&, base::Time now, uint64_t random);
 void answered(Router&, const Answered&, base::Time now);
--- a/tests/config_state_test.cpp
+++ b/tests/config_state_test.cpp
@@ -153,6 +153,27 @@
     }
 }
 
+// Guards against: a service without any upstream that may serve it, while its ready ones run the version before the last rollout.
+TEST_CASE("the version that had the traffic stands in during a rollout and after its completion", "[config]")
+{
+    State state = bothDeployments();
+    const auto standIn = [&] { return current(state).services.at({ "plug-control" }).standIn.text; };
+    CHECK(standIn().empty());
+    const base::RolloutId bad = apply(state, { 3 }, start(request("ada", 3, 2), "bad")).rollout;
+    CHECK(standIn() == "1.0");
+    CHECK(apply(state, { 4 }, TakeBack { bad, { 0 }, "", {} }).code == Code::Ok);
+    CHECK(standIn().empty());
+    const base::RolloutId good = apply(state, { 5 }, start(request("ada", 4, 4), "2.0")).rollout;
+    CHECK(apply(state, { 6 }, SetShare { good, { 0 }, { 1000 }, "", {} }).code == Code::Ok);
+    CHECK(apply(state, { 7 }, CompleteRollout { good, { 1000 }, "", {} }).code == Code::Ok);
+    CHECK(standIn() == "1.0");
+    const State restarted = decodeState(encode(state)).value();
+    CHECK(restarted.trafficBefore == state.trafficBefore);
+    CHECK(current(restarted) == current(state));
+    CHECK(apply(state, { 8 }, SubmitAnswers { request("ada", 5, 7), withSlots(exampleBytes("berthgrid.json"), 12) }).code == Code::Ok);
+    CHECK(standIn() == "1.0");
+}
+
 TEST_CASE("a keeper set changes in two steps, each named by its number", "[config]")
 {
     // Two control processes change the keepers at once. Were both taken, claims granted by the first set's majority
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -390,6 +390,23 @@
         CHECK(pick(other, { { "r" }, {}, {} }, Time { 2 }, n)->version.text == "old");
 }
 
+// Guards against: requests refused for a version without upstreams while those of the version before it are ready.
+TEST_CASE("the stand-in takes what no version with a share has an upstream for, and nothing else", "[policy]")
+{
+    Router it = routerOf({ endpoint("1", "old"), endpoint("2", "new"), endpoint("3", "bad") });
+    setShares(it, std::vector<config::VersionShare> { { { "old" }, { 0 } }, { { "new" }, { 1000 } } }, 0, { "old" });
+    for (uint64_t n = 0; n < 100; ++n)
+        CHECK(pick(it, { { "r" }, {}, {} }, Time { 1 }, n)->version.text == "new");
+    config::Endpoint gone = endpoint("2", "new");
+    gone.sequence = { 2 };
+    gone.state = config::EndpointState::Gone;
+    setEndpoints(it, std::vector { gone }, Time { 1 });
+    for (uint64_t n = 0; n < 100; ++n)
+        CHECK(pick(it, { { "r" }, {}, {} }, Time { 2 }, n)->version.text == "old");
+    setShares(it, std::vector<config::VersionShare> { { { "new" }, { 1000 } } }, 0);
+    CHECK_FALSE(pick(it, { { "r" }, {}, {} }, Time { 2 }, 1));
+}
+
 TEST_CASE("a version that fails on one route loses that route only", "[policy][slow-upstream]")
 {
     // The new version can't read the archives any more; its page loads are fine. Half of its upstreams would have to
