--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -258,6 +258,20 @@
     CHECK(config::current(state).rollouts.size() == 1);
 }
 
+// Guards against: a request taken so late in a stop that its upstream is still at work when the process has to end.
+TEST_CASE("a stopping node that hears of it late takes nothing in the second half of its grace time", "[platform]")
+{
+    const base::Duration heardLate { 500 };
+    for (const int64_t seconds : { 2, 4, 6, 20 }) {
+        const Json file = { { "node_id", "side-1" }, { "ip", "10.1.0.9" }, { "zone", "a" }, { "region", "r" }, { "internal_port_range", { 7380, 7395 } }, { "seed_nodes", { "10.1.0.1:90" } },
+            { "heartbeat_ms", 1500 }, { "service", "plugs" }, { "bind_addresses", { { "outbound", "10.1.0.9:81" }, { "control_plane", "10.1.0.9:90" }, { "ready_address", "10.1.0.9:82" } } },
+            { "bounds", { { "grace_s", seconds } } } };
+        const auto node = platform::readNodeFile(file.dump());
+        REQUIRE(node);
+        CHECK(node.value().settings.drainTime + heardLate <= base::Duration { seconds * 500 });
+    }
+}
+
 TEST_CASE("the platform's settings become the product's, and what is missing is named", "[platform]")
 {
     Json file = { { "node_id", "side-1" }, { "ip", "10.1.0.9" }, { "zone", "a" }, { "region", "r" }, { "internal_port_range", { 7380, 7395 } }, { "seed_nodes", { "10.1.0.1:90", "10.1.0.2:90" } },
