Promises of sources end with the search that they were made in

Cause: when a source sends a node away, the node keeps that it may come back, and said so to the same source 13 s later, in the next cut. That source had not promised it anything in this cut, but takes who was promised.

A search begins without the promises of the one before. 'what a source promised ends with the search' failed before and passes.

--- a/src/appletally/policy/source_race.cpp
+++ b/src/appletally/policy/source_race.cpp
@@ -51,8 +51,10 @@
 void beginSearch(SourceRace& it, base::Time now)
 {
     it.searchBegan = now;
-    for (RaceSource& each : it.sources)
+    for (RaceSource& each : it.sources) {
         each.isolated = false;
+        each.promised = false;
+    }
 }
 
 std::optional<size_t> nextTry(SourceRace& it, base::Time now, uint64_t random)
--- a/tests/source_race_test.cpp
+++ b/tests/source_race_test.cpp
@@ -157,3 +157,16 @@
     CHECK_FALSE(nextTry(race, { 1299 }, 0));
     CHECK(nextTry(race, { 1300 }, 0) == 0);
 }
+
+// Guards against: an isolated source that lets a client in for a promise made in an outage long past.
+TEST_CASE("what a source promised ends with the search", "[policy][reconnect]")
+{
+    SourceRace race;
+    race.sources.resize(2);
+    beginSearch(race, { 1000 });
+    tryFailed(race, 0, SourceRefusal { { 300 }, true }, { 1000 }, 7);
+    beginSearch(race, { 15'000 });
+    CHECK_FALSE(race.sources[0].promised);
+    CHECK_FALSE(race.sources[0].isolated);
+    CHECK(nextTry(race, { 15'000 }, 0) == 0);
+}
