--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -1,14 +1,12 @@
 // Distribution between one source and its subscribers: herds, slow and refusing subscribers, sources that lag.
 #include "appletally/config/generate.h"
-#include "appletally/consensus/disk_log.h"
 #include "appletally/control/boot_reads.h"
 #include "appletally/control/distributor.h"
 #include "appletally/control/keeper_choice.h"
-#include "appletally/control/process.h"
 #include "appletally/inner/rpc_port.h"
 #include "appletally/inner/source_client.h"
+#include "control_fixture.h"
 #include "deaf_address.h"
-#include "process_fixture.h"
 
 #include <catch2/catch.hpp>
 #include <kj/timer.h>
@@ -165,29 +163,6 @@
     std::unique_ptr<SourceClient> client;
 };
 
-// A control process whose disk was lost, and that nobody has let in yet.
-struct EmptyControl {
-    explicit EmptyControl(kj::AsyncIoContext& io)
-        : process(io, settings(), disk())
-    {
-    }
-    static control::ControlSettings settings()
-    {
-        control::ControlSettings out;
-        out.membership = { { "mesh" }, {}, { "empty" } };
-        out.listen = { "127.0.0.1", 0 };
-        out.claims = false;
-        return out;
-    }
-    consensus::DiskLog disk() const
-    {
-        REQUIRE(consensus::formatFolder(consensus::systemFileCalls(), folder / "data", { { 9 }, { "empty" }, {} }));
-        return consensus::openFolder(consensus::systemFileCalls(), folder / "data").value();
-    }
-    process_test::Folder folder;
-    control::ControlProcess process;
-};
-
 } // namespace
 
 TEST_CASE("a subscriber that cannot use a delta gets the whole version next", "[control][distribution]")
@@ -377,7 +352,7 @@
     // waits for control links to it; callers were turned away until it was let in and had caught up, beside sources that
     // could have served all the while.
     auto io = kj::setupAsyncIo();
-    EmptyControl empty(io);
+    control_test::TestControl empty(io, control_test::Begins::Empty);
     TestSource well(io, wide());
     well.distributor.contentReleased(snapshot(2));
     well.port->stopListening(); // so that the node begins at the other one
@@ -395,7 +370,7 @@
     // reaches it before the entries; asked for the least version, it named the one that it had, none at all, and nodes that
     // had been at version 65 served by 64 until the next delta came.
     auto io = kj::setupAsyncIo();
-    EmptyControl empty(io);
+    control_test::TestControl empty(io, control_test::Begins::Empty);
     consensus::Append ahead;
     ahead.previousIndex = { 5 };
     ahead.previousTerm = { 1 };
--- a/tests/rollout_upstreams_test.cpp
+++ b/tests/rollout_upstreams_test.cpp
@@ -1,94 +1,61 @@
 // Rollouts against the upstreams that are there: a control process that leads alone, and the nodes' reports played by hand.
-#include "appletally/consensus/disk_log.h"
-#include "appletally/control/process.h"
-#include "process_fixture.h"
+#include "control_fixture.h"
 
-#include <catch2/catch.hpp>
-
-using namespace appletally;
+using namespace control_test;
 
 namespace {
 
 const base::ServiceName service { "plug-control" };
 
-struct Control {
-    explicit Control(kj::AsyncIoContext& context)
-        : io(context)
-        , process(context, settings(), disk())
-    {
-        wait([&] { return process.leads(); });
-        config::Document document;
-        document.id = { { 1 }, { 0 }, "first" };
-        config::Service it;
-        it.name = service;
-        document.services[service] = { it, "{}" };
-        REQUIRE(process.submitDocument(document).wait(io.waitScope));
-    }
-
-    static control::ControlSettings settings()
-    {
-        control::ControlSettings out;
-        out.membership = { { "mesh" }, {}, { "c" } };
-        out.listen = { "127.0.0.1", 0 };
-        out.claims = false;
-        return out;
-    }
-
-    consensus::DiskLog disk() const
-    {
-        const consensus::Member self { { 1 }, { "c" }, consensus::Role::Voter, {} };
-        REQUIRE(consensus::formatFolder(consensus::systemFileCalls(), folder / "data", { { 1 }, { "c" }, { self } }));
-        return consensus::openFolder(consensus::systemFileCalls(), folder / "data").value();
+inner::NodeReport announcements(const char* version, int count)
+{
+    inner::NodeReport out;
+    for (int n = 0; n < count; ++n) {
+        config::Endpoint it;
+        it.host = { version + std::to_string(n) };
+        it.service = service;
+        it.version = { version };
+        it.state = config::EndpointState::Ready;
+        it.incarnation = { 1 };
+        out.endpoints.push_back({ it, 1 });
     }
+    return out;
+}
 
-    void announce(const std::string& version, int count, config::EndpointState state = config::EndpointState::Ready)
+struct Mesh {
+    Mesh()
     {
-        ++sequence;
-        inner::NodeReport report;
-        for (int n = 0; n < count; ++n) {
-            config::Endpoint it;
-            it.host = { version + "-" + std::to_string(n) };
-            it.service = service;
-            it.version = { version };
-            it.state = state;
-            it.incarnation = { 1 };
-            it.sequence = { sequence };
-            report.endpoints.push_back({ it, 1 });
-        }
-        process.nodeReport(report);
+        wait([&] { return control.process.leads(); });
+        config::Document document;
+        document.id = { { 1 }, { 0 }, "first" };
+        document.services[service] = { { service }, "{}" };
+        REQUIRE(control.process.submitDocument(document).wait(io.waitScope));
+        control.process.nodeReport(announcements("v1", 3));
     }
 
-    void pass(base::Duration it) { io.provider->getTimer().afterDelay(it.ms * kj::MILLISECONDS).wait(io.waitScope); }
-
     template <typename Done>
     void wait(Done done)
     {
-        const base::Time since = base::steadyNow();
-        while (!done()) {
+        for (const base::Time since = base::steadyNow(); !done();) {
             REQUIRE(base::steadyNow() - since < base::Duration { 30'000 });
-            pass({ 5 });
+            io.provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(io.waitScope);
         }
     }
 
-    const config::State& state() { return *process.agreed().wait(io.waitScope).value(); }
+    const config::State& state() { return *control.process.agreed().wait(io.waitScope).value(); }
 
-    void move(const std::string& to, base::Duration within) { REQUIRE(process.moveTraffic({ service, {}, { to }, within, {} }).wait(io.waitScope)); }
-
-    // The versions that have a part of the traffic.
-    std::vector<std::string> served()
+    // The version that has all traffic once the rollout has ended.
+    std::string moveTo(const char* version)
     {
-        std::vector<std::string> out;
-        for (const config::VersionShare& it : state().snapshot.services.at(service).versions) {
-            if (it.share.value > 0)
-                out.push_back(it.version.text);
-        }
-        return out;
+        REQUIRE(control.process.moveTraffic({ service, {}, { version }, { 1000 }, {} }).wait(io.waitScope));
+        wait([&] { return state().snapshot.rollouts.empty(); });
+        const auto& versions = state().snapshot.services.at(service).versions;
+        REQUIRE(versions.size() == 1);
+        return versions[0].version.text;
     }
 
-    kj::AsyncIoContext& io;
-    process_test::Folder folder;
-    control::ControlProcess process;
-    uint64_t sequence = 0;
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    TestControl control { io, Begins::Alone };
 };
 
 } // namespace
@@ -96,11 +63,17 @@
 // Guards against: a rollout that completes by its schedule though no upstream runs the new version, and leaves its service without any.
 TEST_CASE("a rollout to a version that nothing runs is taken back", "[control][rollout]")
 {
-    auto io = kj::setupAsyncIo();
-    Control control(io);
-    control.announce("v1", 3);
-    control.move("v2", { 1000 });
-    control.wait([&] { return control.state().snapshot.rollouts.empty(); });
-    CHECK(control.state().ended.back().end == config::RolloutEnd::TakenBack);
-    CHECK(control.served() == std::vector<std::string> { "v1" });
+    Mesh mesh;
+    CHECK(mesh.moveTo("v2") == "v1");
+    CHECK(mesh.state().ended.back().end == config::RolloutEnd::TakenBack);
+}
+
+// Guards against: operators who stop the old version while the new one's upstreams cannot carry its traffic.
+TEST_CASE("a rollout completes only with half as many upstreams of the new version as of the old", "[control][rollout]")
+{
+    Mesh mesh;
+    mesh.control.process.nodeReport(announcements("few", 1));
+    CHECK(mesh.moveTo("few") == "v1");
+    mesh.control.process.nodeReport(announcements("enough", 2));
+    CHECK(mesh.moveTo("enough") == "enough");
 }
