A session's subscription may outlive its distributor

Cause, by gdb: a call that is under way when the process's parts go is held by the event loop, and its session with it. When the loop goes, last, the session takes itself out of a distributor that is gone. A control process that stops while a node's boot read is under way does the same at its exit.

A subscription is an object now that knows whether its distributor is there. 'a subscription may outlive its distributor' states it; the type is new.

--- a/src/appletally/control/distributor.cpp
+++ b/src/appletally/control/distributor.cpp
@@ -39,6 +39,27 @@
 
 } // namespace
 
+Subscription::Subscription(std::weak_ptr<Distributor*> of, uint64_t id)
+    : m_of(std::move(of))
+    , m_id(id)
+{
+}
+
+Subscription& Subscription::operator=(Subscription&& other) noexcept
+{
+    end();
+    m_of = std::move(other.m_of);
+    m_id = other.m_id;
+    return *this;
+}
+
+void Subscription::end()
+{
+    if (const auto of = m_of.lock())
+        (*of)->unsubscribe(m_id);
+    m_of.reset();
+}
+
 Distributor::Distributor(kj::Timer& timer, DistributorLimits limits, const config::EndpointRegistry& endpoints)
     : m_timer(timer)
     , m_limits(limits)
@@ -55,7 +76,7 @@
 
 // --- Who takes ---
 
-base::Result<uint64_t> Distributor::subscribe(const base::HostId& who, base::ConfigVersion have, config::EndpointCursor cursor, inner::rpc::Feed::Client feed, bool promised)
+base::Result<Subscription> Distributor::subscribe(const base::HostId& who, base::ConfigVersion have, config::EndpointCursor cursor, inner::rpc::Feed::Client feed, bool promised)
 {
     if (m_subscribers.size() >= m_limits.mostSubscribers) {
         ++m_counters.cameBackLater;
@@ -75,7 +96,7 @@
     const uint64_t id = m_nextId++;
     m_subscribers.emplace(id, Subscriber { who, std::move(feed), have, cursor, {} });
     m_tasks.add(kj::evalLater([this, id] { push(id); })); // after the answer to subscribe
-    return id;
+    return Subscription { m_self, id };
 }
 
 void Distributor::unsubscribe(uint64_t id)
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -38,14 +38,32 @@
     uint64_t endpointRecords = 0;
 };
 
+class Distributor;
+
+// A place among a distributor's subscribers, given up with the object. A call that is still under way when the process
+// stops keeps its session past the distributor, so it may outlive that.
+class Subscription {
+public:
+    Subscription() = default;
+    Subscription(std::weak_ptr<Distributor*> of, uint64_t id);
+    Subscription(Subscription&&) = default;
+    Subscription& operator=(Subscription&&) noexcept;
+    ~Subscription() { end(); }
+    void end();
+
+private:
+    std::weak_ptr<Distributor*> m_of;
+    uint64_t m_id = 0;
+};
+
 class Distributor : private kj::TaskSet::ErrorHandler {
 public:
     // `endpoints` must outlive the distributor; endpointsChanged() says that there is news in it.
     Distributor(kj::Timer&, DistributorLimits, const config::EndpointRegistry& endpoints);
 
-    // Overloaded sources answer ComeBackLater, those without the other control processes SourceIsolated. The number is for unsubscribe(), which repeats harmlessly.
-    base::Result<uint64_t> subscribe(const base::HostId& who, base::ConfigVersion have, config::EndpointCursor, inner::rpc::Feed::Client, bool promised);
-    void unsubscribe(uint64_t subscriber);
+    // Overloaded sources answer ComeBackLater, those without the other control processes SourceIsolated.
+    base::Result<Subscription> subscribe(const base::HostId& who, base::ConfigVersion have, config::EndpointCursor, inner::rpc::Feed::Client, bool promised);
+    void unsubscribe(uint64_t subscriber); // repeats harmlessly
 
     // A source that has lost the other control processes still has endpoints and content, perhaps old ones. Its
     // subscribers are asked to look for a better source, and again at intervals; whoever found none and comes back at
@@ -115,6 +133,7 @@
     bool m_scheduled = false; // content
     bool m_endpointsScheduled = false;
     kj::TimePoint m_endpointsPushedAt = kj::origin<kj::TimePoint>();
+    std::shared_ptr<Distributor*> m_self = std::make_shared<Distributor*>(this); // for subscriptions
     kj::TaskSet m_tasks; // last: its tasks use all above
 };
 
--- a/src/appletally/control/sessions.cpp
+++ b/src/appletally/control/sessions.cpp
@@ -24,14 +24,12 @@
         {
         }
 
-        ~SourceSession() noexcept(false) { m_process.distributor().unsubscribe(m_subscriber); }
-
         kj::Promise<void> beat(BeatContext) override { return kj::READY_NOW; }
 
         kj::Promise<void> subscribe(SubscribeContext context) override
         {
             auto params = context.getParams();
-            m_process.distributor().unsubscribe(m_subscriber); // a second one replaces the first
+            m_subscription.end(); // a second one replaces the first
             // With an empty disk it starts sooner than all others and draws every node that waits for a source; they would
             // stay until it is let in and has caught up, while the others could have served them.
             if (!m_process.knowsMembers()) {
@@ -40,7 +38,7 @@
             }
             auto subscribed = m_process.distributor().subscribe(m_who, { params.getHave() }, inner::read(params.getCursor()), params.getFeed(), params.getPromised());
             if (subscribed)
-                m_subscriber = subscribed.value();
+                m_subscription = std::move(subscribed.value());
             else
                 inner::write(context.getResults().initFailure(), subscribed.error());
             return kj::READY_NOW;
@@ -67,7 +65,7 @@
         base::HostId m_who;
 
     private:
-        uint64_t m_subscriber = 0;
+        Subscription m_subscription;
     };
 
     void write(inner::rpc::Failure::Builder failure, const ChangeAnswer& answer)
--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -68,6 +68,7 @@
     config::EndpointRegistry endpoints;
     control::Distributor distributor { timer, wide(), endpoints };
     std::vector<Taken> taken;
+    std::vector<control::Subscription> subscriptions;
 
     void pass(int64_t ms)
     {
@@ -76,8 +77,9 @@
     }
     void subscribe(uint64_t have, std::function<kj::Promise<uint64_t>(const Taken&)> answer)
     {
-        const auto subscribed = distributor.subscribe({ "n" }, { have }, {}, kj::heap<HandFeed>(taken, std::move(answer)), false);
+        auto subscribed = distributor.subscribe({ "n" }, { have }, {}, kj::heap<HandFeed>(taken, std::move(answer)), false);
         REQUIRE(subscribed);
+        subscriptions.push_back(std::move(subscribed.value()));
         scope.poll();
     }
     void release(uint64_t version)
@@ -96,14 +98,13 @@
         , m_answersAt(kj::mv(answersAt))
     {
     }
-    ~TestSession() noexcept(false) { m_distributor.unsubscribe(m_subscriber); }
     kj::Promise<void> beat(BeatContext) override { return kj::READY_NOW; }
     kj::Promise<void> subscribe(SubscribeContext context) override
     {
         auto params = context.getParams();
         auto done = m_distributor.subscribe({ "n" }, { params.getHave() }, read(params.getCursor()), params.getFeed(), params.getPromised());
         if (done)
-            m_subscriber = done.value();
+            m_subscription = std::move(done.value());
         else
             write(context.getResults().initFailure(), done.error());
         return kj::mv(m_answersAt);
@@ -119,7 +120,7 @@
     control::Distributor& m_distributor;
     const uint64_t& m_floor;
     kj::Promise<void> m_answersAt; // to subscribe
-    uint64_t m_subscriber = 0;
+    control::Subscription m_subscription;
 };
 
 struct TestSource {
@@ -215,6 +216,22 @@
     CHECK(it.taken[1].version.value == 50);
 }
 
+// Guards against: a session whose last call ends after the process's parts, and that takes itself out of a distributor that is gone.
+TEST_CASE("a subscription may outlive its distributor", "[control][distribution]")
+{
+    std::vector<control::Subscription> kept;
+    {
+        ByHand it;
+        it.subscribe(0, [](const Taken&) -> kj::Promise<uint64_t> { return kj::NEVER_DONE; });
+        it.subscriptions.clear();
+        CHECK(it.distributor.subscribers() == 0);
+        it.subscribe(0, [](const Taken&) -> kj::Promise<uint64_t> { return kj::NEVER_DONE; });
+        CHECK(it.distributor.subscribers() == 1);
+        kept = std::move(it.subscriptions);
+    }
+    kept.clear();
+}
+
 TEST_CASE("changes that come close together leave as one message", "[control][distribution]")
 {
     // A rollout step, a keeper change and an operator's change within 20 ms: three messages to each of hundreds of nodes
