--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -17,10 +17,12 @@
 
     bool isServed(const config::Service& service, const ReadyByService& ready)
     {
-        const auto it = ready.find(service.name);
-        if (it == ready.end())
+        const auto versions = ready.find(service.name);
+        if (versions == ready.end())
             return false;
-        return service.versions.empty() || it->second.contains(service.standIn) || std::any_of(service.versions.begin(), service.versions.end(), [&](const config::VersionShare& share) { return share.share.value > 0 && it->second.contains(share.version); });
+        const auto runs = [&](const base::UpstreamVersion& it) { return !it.empty() && versions->second.contains(it); };
+        const auto takesTraffic = [&](const config::VersionShare& it) { return it.share.value > 0 && runs(it.version); };
+        return service.versions.empty() || runs(service.standIn) || std::any_of(service.versions.begin(), service.versions.end(), takesTraffic);
     }
 
     void writeServiceMetrics(base::MetricsText& out, const config::Snapshot& snapshot, const ReadyByService& ready)
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -30,7 +30,7 @@
 struct IngressCounts {
     uint64_t answered = 0; // whole answers, whatever their status
     uint64_t refused = 0; // proven "not run"
-    std::map<std::pair<base::ServiceName, base::Code>, uint64_t> refusedBy; // without a service: before its route was known
+    std::map<std::pair<base::ServiceName, base::Code>, uint64_t> refusedBy; // without a service: before one was chosen
     uint64_t unknown = 0; // outcome unknown, cut or past the deadline
     uint64_t retried = 0;
     uint64_t hedged = 0;
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -44,8 +44,7 @@
     const http::CallerRequest& request = exchange.request();
     const bool keyed = m_settings.features.claims && http::findHeader(request.headers, "Idempotency-Key");
     ++m_counts.refused;
-    const config::Route* route = routeOf(request);
-    ++m_counts.refusedBy[{ route ? route->service : base::ServiceName {}, code }];
+    ++m_counts.refusedBy[{ {}, code }];
     base::logRequest(base::Event::RequestRefused, nameOf(request.headers, m_settings.dialect.requestId, m_lastId),
         { { "code", static_cast<int64_t>(code) }, { "why", why }, { "config_version", static_cast<int64_t>(m_snapshot ? m_snapshot->version.value : 0) } });
     // Of a keyed request an earlier send may have run elsewhere; nobody has been asked about that here.
