--- a/tests/rollout_upstreams_test.cpp
+++ b/tests/rollout_upstreams_test.cpp
@@ -28,7 +28,8 @@
         wait([&] { return control.process.leads(); });
         config::Document document;
         document.id = { { 1 }, { 0 }, "first" };
-        document.services[service] = { { service }, "{}" };
+        document.services[service].service.name = service;
+        document.services[service].text = "{}";
         REQUIRE(control.process.submitDocument(document).wait(io.waitScope));
         control.process.nodeReport(announcements("v1", 3));
     }
