The reason of a raise or completion names the answers it rests on

Change: the reason of each raise and of the completion tells the new version's warm answers at the share before, all answers of the service in that time, and the highest score. No decision changes.

--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -329,6 +329,44 @@
         return !answers.empty() && std::all_of(answers.begin(), answers.end(), [&](const auto& it) { return it.second >= state.settings.minAnswersToRaise; });
     }
 
+    std::map<base::RouteName, RouteAnswers> answersByRoute(const RolloutState& state, const config::Rollout& plan)
+    {
+        std::map<base::RouteName, RouteAnswers> out;
+        for (const auto& [key, byIncarnation] : state.evidence.tallies) {
+            if (key.version != plan.to && key.version != plan.from)
+                continue;
+            const Tally sum = totalOf(state.evidence, key);
+            out[key.route].fresh += key.version == plan.to ? sum.answers : 0;
+            out[key.route].all += sum.answers + sum.coldAnswers;
+        }
+        return out;
+    }
+
+    std::map<base::RouteName, RouteAnswers> answersAtShare(const RolloutState& state, const config::Rollout& plan)
+    {
+        std::map<base::RouteName, RouteAnswers> out = answersByRoute(state, plan);
+        for (auto& [route, it] : out) {
+            const auto before = state.beforeShare.find(route);
+            if (before == state.beforeShare.end())
+                continue;
+            it.fresh -= before->second.fresh;
+            it.all -= before->second.all;
+        }
+        return out;
+    }
+
+    std::string describeEvidence(const RolloutState& state, const config::Rollout& plan, double worst)
+    {
+        RouteAnswers sum;
+        for (const auto& [route, it] : answersAtShare(state, plan)) {
+            sum.fresh += it.fresh;
+            sum.all += it.all;
+        }
+        std::array<char, 32> score {};
+        std::snprintf(score.data(), score.size(), "%.1f", worst);
+        return std::to_string(sum.fresh) + " warm answers of " + plan.to.text + " among " + std::to_string(sum.all) + " at the share before, score " + score.data();
+    }
+
     // Completing a rollout allows operators to stop the old version at once. By then, requests sent to the old version
     // before the last step have ended, and the step is applied at every node; when completion came with the last step,
     // a third of the traffic was cut off.
@@ -405,7 +443,7 @@
         if (!step) {
             if (now - state.lastRaise < drainTime)
                 return keep(plan, "waiting until requests at the old version have ended");
-            return { RolloutAction::Complete, { 1000 }, "all traffic has moved" };
+            return { RolloutAction::Complete, { 1000 }, "all traffic has moved; " + describeEvidence(state, plan, worst) };
         }
         const bool trial = step == &state.settings.steps.front();
         if (!trial && now - state.lastRaise < state.settings.minStepDuration)
@@ -417,11 +455,13 @@
             return keep(plan, "the evidence points against the version, but does not suffice for a rollback");
         if (!trial && !due && !hasEnoughAnswers(state, plan.to))
             return keep(plan, "too few answers to raise the share ahead of schedule");
-        state.lastRaise = now;
-        base::PerMille share = step->share;
+        const std::string reason = due ? "the step is due and the evidence does not point against the version" : "sufficient evidence on every route";
+        RolloutDecision raise { RolloutAction::Raise, step->share, reason + "; " + describeEvidence(state, plan, worst) };
         if (trial)
-            share = std::min(share, std::max(plan.maxTrialShare, base::PerMille { 1 }));
-        return { RolloutAction::Raise, share, due ? "the step is due and the evidence does not point against the version" : "sufficient evidence on every route" };
+            raise.share = std::min(raise.share, std::max(plan.maxTrialShare, base::PerMille { 1 }));
+        state.lastRaise = now;
+        state.beforeShare = answersByRoute(state, plan);
+        return raise;
     }
 
 } // namespace
--- a/src/appletally/policy/rollout.h
+++ b/src/appletally/policy/rollout.h
@@ -113,6 +113,12 @@
     std::map<base::HostId, std::array<SequentialTest, regressionKinds>> hostTests;
 };
 
+// Answers on one route, as reported to this leader.
+struct RouteAnswers {
+    uint64_t fresh = 0; // of the new version, cold start excluded
+    uint64_t all = 0; // of both versions, cold start included
+};
+
 // Ready upstreams of a rollout's two versions, as known to control.
 struct VersionUpstreams {
     size_t to = 0;
@@ -125,6 +131,7 @@
     base::WallTime lastRaise;
     std::optional<base::WallTime> insufficientSince; // since when the new version has had too few upstreams
     EvidenceTotals evidence;
+    std::map<base::RouteName, RouteAnswers> beforeShare; // totals when this leader set the current share
     std::map<base::RouteName, RolloutRoute> routes;
     std::array<SequentialTest, regressionKinds> allRoutes; // pooled over routes: detects regressions with too few answers on each route
     std::map<base::HostId, std::array<SequentialTest, regressionKinds>> allRoutesByHost;
