A rollout completes only on compared answers of the new version

Callers saw a bad version serve them for good: it completed 5.6 s after a loss of all power, and nothing could take it back any more. Cause: a step that is due was taken unless evidence pointed against the version. A loss of all processes takes the nodes' counters and the leader's tests, and answers during cold start don't count, so there was none: raises rested on 0 warm answers among 0 and among 97. At 1000 per mille the old version gives no answers, and the comparison waited 5 or 15 s for them, while the completion came after 1.5 s. Class: no evidence read as good evidence, and made final. Change: the last step and the completion want warm answers at the share before, 40 on each route or half of what the share lets expect; a leader without its predecessor's evidence waits for reports; once all traffic has moved, answers are compared with the history every 500 ms. The listed test of the hold now plays past the wait for reports, which had hidden the raise.

--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -16,6 +16,8 @@
     // gives an expected rate; longer for latency, because an overload that has just begun has no history.
     constexpr base::Duration maxInterval { 5000 };
     constexpr base::Duration maxLatencyInterval { 15'000 };
+    // The same once all traffic has moved: the old version gives no more answers, and completion waits for the comparison.
+    constexpr base::Duration maxIntervalWithoutOld { 500 };
     // Weight of the old version's history beside the answers of the interval, in answers.
     constexpr double historyWeight = 2;
     // Half-life of the recent rate, in answers of the old version: long enough to distinguish 80% from 60%, short
@@ -198,7 +200,7 @@
         ComparedTotals& compared = route.compared.at(static_cast<size_t>(stream));
         const Tally oldSum = oldTotal(state, name, plan.from);
         const Tally old = oldSum - compared.old;
-        const base::Duration longest = stream == Stream::All ? maxInterval : maxLatencyInterval;
+        const base::Duration longest = plan.share >= base::PerMille { 1000 } ? maxIntervalWithoutOld : (stream == Stream::All ? maxInterval : maxLatencyInterval);
         if (answersOf(old, stream, route.baseline) < minOldAnswersPerInterval && now - compared.at < longest)
             return;
         const Baseline past = route.baseline;
@@ -329,35 +331,85 @@
         return !answers.empty() && std::all_of(answers.begin(), answers.end(), [&](const auto& it) { return it.second >= state.settings.minAnswersToRaise; });
     }
 
-    std::map<base::RouteName, RouteAnswers> answersByRoute(const RolloutState& state, const config::Rollout& plan)
+    // Answers since the share was set, as reported to this leader.
+    struct AnswersAtShare {
+        uint64_t fresh = 0; // of the new version, cold start excluded
+        uint64_t all = 0; // of both versions, cold start included
+    };
+
+    std::map<std::pair<base::RouteName, base::UpstreamVersion>, ReportedAnswers> reportedAnswers(const RolloutState& state)
     {
-        std::map<base::RouteName, RouteAnswers> out;
+        std::map<std::pair<base::RouteName, base::UpstreamVersion>, ReportedAnswers> out;
         for (const auto& [key, byIncarnation] : state.evidence.tallies) {
-            if (key.version != plan.to && key.version != plan.from)
-                continue;
             const Tally sum = totalOf(state.evidence, key);
-            out[key.route].fresh += key.version == plan.to ? sum.answers : 0;
-            out[key.route].all += sum.answers + sum.coldAnswers;
+            ReportedAnswers& it = out[{ key.route, key.version }];
+            it.warm += sum.answers;
+            it.all += sum.answers + sum.coldAnswers;
         }
         return out;
     }
 
-    std::map<base::RouteName, RouteAnswers> answersAtShare(const RolloutState& state, const config::Rollout& plan)
+    std::map<base::RouteName, AnswersAtShare> answersAtShare(const RolloutState& state, const config::Rollout& plan)
     {
-        std::map<base::RouteName, RouteAnswers> out = answersByRoute(state, plan);
-        for (auto& [route, it] : out) {
-            const auto before = state.beforeShare.find(route);
-            if (before == state.beforeShare.end())
+        std::map<base::RouteName, AnswersAtShare> out;
+        for (const auto& [key, total] : reportedAnswers(state)) {
+            const auto& [route, version] = key;
+            if (version != plan.to && version != plan.from)
                 continue;
-            it.fresh -= before->second.fresh;
-            it.all -= before->second.all;
+            const auto before = state.beforeShare.find(key);
+            const ReportedAnswers known = before == state.beforeShare.end() ? ReportedAnswers {} : before->second;
+            out[route].fresh += version == plan.to ? total.warm - known.warm : 0;
+            out[route].all += total.all - known.all;
         }
         return out;
     }
 
+    // Warm answers on a route that allow the last step and the completion: in as many the tests detect a version that fails
+    // or stalls in one answer of five. Fewer are enough on a route with little traffic.
+    constexpr double minAnswersAtShare = 40;
+    // Part of the answers expected at its share that the new version must have given, less one for chance.
+    constexpr double answeredPart = 0.5;
+
+    bool isObservedAtShare(const RolloutState& state, const config::Rollout& plan)
+    {
+        const std::map<base::RouteName, AnswersAtShare> answers = answersAtShare(state, plan);
+        return std::all_of(answers.begin(), answers.end(), [&](const auto& entry) {
+            const AnswersAtShare& it = entry.second;
+            const double wanted = static_cast<double>(it.all) * plan.share.value / 1000 * answeredPart - 1;
+            return static_cast<double>(it.fresh) >= std::floor(std::min(wanted, minAnswersAtShare));
+        });
+    }
+
+    // A leader without reports cannot tell a service without traffic from reports that have not arrived yet. After a
+    // restart of all processes nodes report within this time.
+    constexpr base::Duration maxReportDelay { 5000 };
+
+    // A leader that took over without the evidence of its predecessor waits for the reports of nodes.
+    void noteReports(RolloutState& state, const config::Rollout& plan, base::WallTime now)
+    {
+        const bool first = !state.leadsSince;
+        state.leadsSince = state.leadsSince.value_or(now);
+        if (state.reportsSince)
+            return;
+        uint64_t fresh = 0;
+        for (const auto& [key, it] : reportedAnswers(state))
+            fresh += key.second == plan.to ? it.warm : 0;
+        if (first && (plan.share.value == 0 || static_cast<double>(fresh) >= minAnswersAtShare))
+            state.reportsSince = state.lastRaise;
+        else if (!state.evidence.tallies.empty())
+            state.reportsSince = now;
+    }
+
+    // Whether the reports of the current share have had this long to arrive.
+    bool haveReportsArrived(const RolloutState& state, base::Duration time, base::WallTime now)
+    {
+        const base::WallTime known = state.reportsSince.value_or(*state.leadsSince + maxReportDelay);
+        return now - std::max(state.lastRaise, known) >= time;
+    }
+
     std::string describeEvidence(const RolloutState& state, const config::Rollout& plan, double worst)
     {
-        RouteAnswers sum;
+        AnswersAtShare sum;
         for (const auto& [route, it] : answersAtShare(state, plan)) {
             sum.fresh += it.fresh;
             sum.all += it.all;
@@ -441,12 +493,14 @@
         if (upstreams.to == 0 || (toAll && !canServeAll(upstreams)))
             return keep(plan, describe(upstreams, plan));
         if (!step) {
-            if (now - state.lastRaise < drainTime)
+            if (!haveReportsArrived(state, drainTime, now))
                 return keep(plan, "waiting until requests at the old version have ended");
+            if (!isObservedAtShare(state, plan))
+                return keep(plan, "too few answers since all traffic moved");
             return { RolloutAction::Complete, { 1000 }, "all traffic has moved; " + describeEvidence(state, plan, worst) };
         }
         const bool trial = step == &state.settings.steps.front();
-        if (!trial && now - state.lastRaise < state.settings.minStepDuration)
+        if (!trial && !haveReportsArrived(state, state.settings.minStepDuration, now))
             return keep(plan, "waiting for reports at the current share");
         if (now < at(state, plan, step->earliest))
             return keep(plan, "the next step is not due yet");
@@ -455,12 +509,14 @@
             return keep(plan, "the evidence points against the version, but does not suffice for a rollback");
         if (!trial && !due && !hasEnoughAnswers(state, plan.to))
             return keep(plan, "too few answers to raise the share ahead of schedule");
+        if (toAll && !isObservedAtShare(state, plan))
+            return keep(plan, "too few answers at the current share");
         const std::string reason = due ? "the step is due and the evidence does not point against the version" : "sufficient evidence on every route";
         RolloutDecision raise { RolloutAction::Raise, step->share, reason + "; " + describeEvidence(state, plan, worst) };
         if (trial)
             raise.share = std::min(raise.share, std::max(plan.maxTrialShare, base::PerMille { 1 }));
         state.lastRaise = now;
-        state.beforeShare = answersByRoute(state, plan);
+        state.beforeShare = reportedAnswers(state);
         return raise;
     }
 
@@ -491,6 +547,12 @@
 
 void onEvidence(RolloutState& state, const config::Evidence& evidence)
 {
+    const auto known = state.evidence.tallies.find({ evidence.host, evidence.route, evidence.version });
+    if (known == state.evidence.tallies.end() || !known->second.contains(evidence.incarnation)) {
+        ReportedAnswers& before = state.beforeShare[{ evidence.route, evidence.version }];
+        before.warm += evidence.answers;
+        before.all += evidence.answers + evidence.coldAnswers;
+    }
     mergeEvidence(state.evidence, evidence);
     state.routes[evidence.route];
 }
@@ -514,6 +576,7 @@
         state.final = RolloutDecision { RolloutAction::RollBack, { 0 }, result.reason };
         return *state.final;
     }
+    noteReports(state, plan, now);
     if (!controlReachable)
         return keep(plan, "control is not reachable, so the share is not changed");
     RolloutDecision decision = advanceShare(state, plan, upstreams, result.worst, now);
--- a/src/appletally/policy/rollout.h
+++ b/src/appletally/policy/rollout.h
@@ -10,6 +10,10 @@
 // load, by a sequential test (sequential_test.h) of failures, of latency beyond the accepted factor, and of stalls far
 // beyond it. The share is raised in steps: on sufficient evidence, or without it when `completeBy` requires it.
 //
+// A schedule is not evidence. A step that is due is taken only if the new version has answered its part of the traffic at
+// the share before: a restart of all processes takes the counters of nodes and the tests of the leader, and what is not
+// known against a version must not count for it.
+//
 // A version without ready upstreams produces no evidence against it either. So no step is taken without ready upstreams
 // of the new version, the last step only with enough of them to serve all traffic, and a rollout that lacks them at its
 // completion time is rolled back.
@@ -113,10 +117,10 @@
     std::map<base::HostId, std::array<SequentialTest, regressionKinds>> hostTests;
 };
 
-// Answers on one route, as reported to this leader.
-struct RouteAnswers {
-    uint64_t fresh = 0; // of the new version, cold start excluded
-    uint64_t all = 0; // of both versions, cold start included
+// Answers of one version on one route.
+struct ReportedAnswers {
+    uint64_t warm = 0;
+    uint64_t all = 0; // with those during cold start
 };
 
 // Ready upstreams of a rollout's two versions, as known to control.
@@ -131,7 +135,10 @@
     base::WallTime lastRaise;
     std::optional<base::WallTime> insufficientSince; // since when the new version has had too few upstreams
     EvidenceTotals evidence;
-    std::map<base::RouteName, RouteAnswers> beforeShare; // totals when this leader set the current share
+    // Totals when this leader set the current share, or in the first report of a host that came later.
+    std::map<std::pair<base::RouteName, base::UpstreamVersion>, ReportedAnswers> beforeShare;
+    std::optional<base::WallTime> leadsSince; // this leader's first decision
+    std::optional<base::WallTime> reportsSince; // from here on this leader knows what nodes report
     std::map<base::RouteName, RolloutRoute> routes;
     std::array<SequentialTest, regressionKinds> allRoutes; // pooled over routes: detects regressions with too few answers on each route
     std::map<base::HostId, std::array<SequentialTest, regressionKinds>> allRoutesByHost;
--- a/tests/rollout_evidence_test.cpp
+++ b/tests/rollout_evidence_test.cpp
@@ -111,8 +111,7 @@
     service.plan.share = { 400 };
     REQUIRE(service.play({ .coldFor = {} }, { 1000 }) == RolloutAction::Keep);
     service.state.allRoutes[0].scores = { 6, 6, 6 };
-    service.now = completeBy;
-    service.state.lastRaise = { 1500 };
+    service.now = completeBy + base::Duration { 5000 };
     CHECK(decideRollout(service.state, service.plan, { 4, 4 }, service.now, true).action == RolloutAction::Keep);
     service.plan.share = { 1000 };
     CHECK(decideRollout(service.state, service.plan, { 4, 4 }, service.now, true).action == RolloutAction::Keep);
