The last step of a rollout is held while answers come that settle a suspicion

Callers saw a version complete at a score of 6.9, 7.7 and 8.5, where 9 rolls it back. Cause: the hold of a suspicious version ended at 0.9 of its time for every step, also for the two that nothing undoes. Class: a time limit that decides for the version where the evidence is not finished. Change: the last step and the completion are held as long as the new version has 20 answers or more at the share; below, as before, up to 0.9 of the time, because a service with few calls gathers no evidence either way.

--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -34,8 +34,8 @@
     constexpr double stallFactor = 4;
     // Additional factor for busy answers of the new version where only quiet ones of the old version are known.
     constexpr double unknownLoadFactor = 2;
-    // Evidence below the rollback score holds the share only up to this fraction of the time; the remaining steps still
-    // fit after it.
+    // Evidence below the rollback score holds partial shares only up to this fraction of the time; the remaining steps still
+    // fit after it. Nothing undoes the last step and the completion, so they are held as long as answers come that settle it.
     constexpr double holdUntilFraction = 0.9;
     // Failures during cold start are ignored up to this number; a version that never completes its cold start is rolled
     // back too.
@@ -380,6 +380,17 @@
         });
     }
 
+    // Answers at the current share from which on more of them settle a suspicion within seconds.
+    constexpr uint64_t minAnswersToSettle = 20;
+
+    uint64_t freshAtShare(const RolloutState& state, const config::Rollout& plan)
+    {
+        uint64_t out = 0;
+        for (const auto& [route, it] : answersAtShare(state, plan))
+            out += it.fresh;
+        return out;
+    }
+
     // A leader without reports cannot tell a service without traffic from reports that have not arrived yet. After a
     // restart of all processes nodes report within this time.
     constexpr base::Duration maxReportDelay { 5000 };
@@ -492,6 +503,9 @@
         const bool toAll = !step || step == &state.settings.steps.back();
         if (upstreams.to == 0 || (toAll && !canServeAll(upstreams)))
             return keep(plan, describe(upstreams, plan));
+        const bool settlesSoon = toAll && freshAtShare(state, plan) >= minAnswersToSettle;
+        if (worst >= state.settings.holdScore && (settlesSoon || now < at(state, plan, holdUntilFraction)))
+            return keep(plan, "the evidence points against the version, but does not suffice for a rollback");
         if (!step) {
             if (!haveReportsArrived(state, drainTime, now))
                 return keep(plan, "waiting until requests at the old version have ended");
@@ -505,8 +519,6 @@
         if (now < at(state, plan, step->earliest))
             return keep(plan, "the next step is not due yet");
         const bool due = now >= latestFor(state, plan, step);
-        if (worst >= state.settings.holdScore && now < at(state, plan, holdUntilFraction))
-            return keep(plan, "the evidence points against the version, but does not suffice for a rollback");
         if (!trial && !due && !hasEnoughAnswers(state, plan.to))
             return keep(plan, "too few answers to raise the share ahead of schedule");
         if (toAll && !isObservedAtShare(state, plan))
