A rollout that is late takes its last steps on 150 answers

Cause: after a loss of all evidence the last steps rested on the answers of 1.5 to 2 s, and slow ones are not among the first. Class: the same as before, silence read as good. Change: once its time is up a rollout gains nothing by haste, so the last step and the completion wait for 150 warm answers of the new version, or 10 s where traffic is little.

--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -418,6 +418,18 @@
         return now - std::max(state.lastRaise, known) >= time;
     }
 
+    // A rollout that is late gains nothing by haste. So many warm answers detect a version that is slow on a part of them,
+    // and those that take longest are among them; after this time at a share the traffic is too little to wait for.
+    constexpr uint64_t minAnswersWhenLate = 150;
+    constexpr base::Duration maxStepDurationWhenLate { 10'000 };
+
+    bool mayTakeLastSteps(const RolloutState& state, const config::Rollout& plan, base::WallTime now)
+    {
+        const bool late = now >= plan.completeBy;
+        const bool enough = !late || freshAtShare(state, plan) >= minAnswersWhenLate || haveReportsArrived(state, maxStepDurationWhenLate, now);
+        return enough && isObservedAtShare(state, plan);
+    }
+
     std::string describeEvidence(const RolloutState& state, const config::Rollout& plan, double worst)
     {
         AnswersAtShare sum;
@@ -509,7 +521,7 @@
         if (!step) {
             if (!haveReportsArrived(state, drainTime, now))
                 return keep(plan, "waiting until requests at the old version have ended");
-            if (!isObservedAtShare(state, plan))
+            if (!mayTakeLastSteps(state, plan, now))
                 return keep(plan, "too few answers since all traffic moved");
             return { RolloutAction::Complete, { 1000 }, "all traffic has moved; " + describeEvidence(state, plan, worst) };
         }
@@ -521,7 +533,7 @@
         const bool due = now >= latestFor(state, plan, step);
         if (!trial && !due && !hasEnoughAnswers(state, plan.to))
             return keep(plan, "too few answers to raise the share ahead of schedule");
-        if (toAll && !isObservedAtShare(state, plan))
+        if (toAll && !mayTakeLastSteps(state, plan, now))
             return keep(plan, "too few answers at the current share");
         const std::string reason = due ? "the step is due and the evidence does not point against the version" : "sufficient evidence on every route";
         RolloutDecision raise { RolloutAction::Raise, step->share, reason + "; " + describeEvidence(state, plan, worst) };
--- a/tests/rollout_evidence_test.cpp
+++ b/tests/rollout_evidence_test.cpp
@@ -28,7 +28,7 @@
     struct Answers {
         int perSecond = 75;
         base::Duration coldFor { 5000 };
-        bool slow = false; // the new version's answers
+        double slowPart = 0; // of the new version's answers
     };
 
     // Returns the first decision that ends the rollout, or Keep if there is none.
@@ -64,7 +64,9 @@
                 ++it.coldAnswers;
             } else {
                 ++it.answers;
-                ++it.latency[toNew && answers.slow ? slowBin : typicalBin];
+                slow += toNew ? answers.slowPart : 0;
+                ++it.latency[slow >= 1 ? slowBin : typicalBin];
+                slow -= slow >= 1 ? 1 : 0;
             }
         }
         for (const auto& [host, it] : counters)
@@ -78,6 +80,7 @@
     std::map<size_t, config::Evidence> counters;
     double sent = 0;
     double fresh = 0;
+    double slow = 0;
     size_t turn = 0;
     RolloutDecision last;
 };
@@ -89,10 +92,22 @@
     // Guards against a bad version that completes, and cannot be rolled back any more, because a loss of all processes
     // took the evidence against it and the schedule was due.
     Restarted service;
-    REQUIRE(service.play({ .slow = true }, { 30'000 }) == RolloutAction::RollBack);
+    REQUIRE(service.play({ .slowPart = 1 }, { 30'000 }) == RolloutAction::RollBack);
     CHECK(service.plan.share < base::PerMille { 1000 });
 }
 
+TEST_CASE("a rollout that is late takes its last step on enough answers to detect a version that is partly slow", "[rollout]")
+{
+    // Guards against a bad version that completes on the first answers at its last share, which are the fast ones.
+    Restarted service;
+    service.plan.share = { 400 };
+    const Restarted::Answers answers { .perSecond = 60, .coldFor = {} }; // 24 a second of the new version
+    service.play(answers, { 5000 });
+    CHECK(service.plan.share == base::PerMille { 400 });
+    service.play(answers, { 8000 });
+    CHECK(service.plan.share == base::PerMille { 1000 });
+}
+
 TEST_CASE("a good version completes after its evidence was lost, also without traffic", "[rollout][recovery]")
 {
     // Guards against a rollout that waits forever for answers: of a version that is good, or of a service that nobody calls.
