The limit that an upstream names and its leaving are read, logged and counted

Change: the owner reads both fields of every answer but 421, which comes from another process; values that are no plain decimal number, or no 1, or stand there twice are ignored, logged (410, once in 10 s) and counted. Event 409 and metrics appletally_upstream_limit, _leaving and _notices_unreadable_total. Requests go where they went. The platform's names stand in its adapter. Checked: a test of values, and the tests of the tag node.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -46,6 +46,8 @@
     ControlLost = 406,
     ControlFound = 407,
     SourceSelected = 408,
+    UpstreamLimitChanged = 409,
+    UpstreamNoticeUnreadable = 410,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/node/dialect.h
+++ b/src/appletally/node/dialect.h
@@ -12,6 +12,8 @@
     std::string caller = "Appletally-Caller"; // identity of the caller, for fair sharing of capacity
     std::string depth = "Appletally-Depth"; // number of enclosing calls; empty: not reported
     std::string notRun = "Appletally-Not-Run"; // on a refusal: the request has not run and will not run
+    std::string limit = "Appletally-Limit"; // on an upstream's answer: the requests a second that it takes from all hosts
+    std::string leaving = "Appletally-Leaving"; // on an upstream's answer: "1" if it takes no new requests
     std::string service; // overwritten with the service of the host where the request entered the mesh; empty: not set
     std::string requestId; // id of one send of a request, repeated by upstreams in the answer; empty: not used
     std::string upstreamId; // id of the target upstream process, which refuses requests for another; empty: not set
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -5,6 +5,7 @@
 #include "appletally/base/loop_time.h"
 
 #include <algorithm>
+#include <cmath>
 #include <strings.h>
 
 namespace appletally::node {
@@ -19,6 +20,9 @@
 // that they go elsewhere instead of reaching a stopped upstream.
 constexpr Duration maxQueueTimeWhileDraining { 1000 };
 
+constexpr Duration unreadableLogInterval { 10'000 };
+constexpr double minLoggedChange = 0.1; // of a limit, as a part of the one before
+
 constexpr Duration busyTickInterval { 5 }; // upper bound on the delay of a refusal that has become certain
 constexpr Duration idleTickInterval { 250 }; // only announcements expire then; an idle node should use next to no CPU
 
@@ -143,6 +147,8 @@
                 failRun(*it, base::fail(Code::OutcomeUnknown, "the upstream was replaced"));
         }
         m_client = std::make_unique<http::UpstreamClient>(m_loop, announcement.address);
+        m_limit.reset();
+        m_leaving = false;
         policy::upstreamStarted(m_admission, m_announcedAt + std::min(announcement.slowStartRemaining, policy::slowStart) - policy::slowStart);
     }
     m_upstream = announcement;
@@ -181,6 +187,35 @@
         policy::onSnapshot(it, *m_snapshot);
 }
 
+void Owner::onNotices(const UpstreamNotices& notices, bool mayLift)
+{
+    logUnreadable(notices);
+    if (notices.limit || (mayLift && m_limit && !notices.limitUnreadable))
+        setLimit(notices.limit);
+    m_leaving = m_leaving || notices.leaving;
+}
+
+void Owner::setLimit(std::optional<double> perSecond)
+{
+    const bool logged = m_limit && perSecond && std::abs(*perSecond - *m_limit) <= minLoggedChange * *m_limit;
+    m_limit = perSecond;
+    if (!logged && m_upstream)
+        base::logEvent(base::Event::UpstreamLimitChanged, m_upstream->service.text + " at " + m_upstream->address.text() + ": " + (perSecond ? std::to_string(*perSecond) + " requests a second" : "no limit"));
+}
+
+void Owner::logUnreadable(const UpstreamNotices& notices)
+{
+    m_counts.unreadableLimits += notices.limitUnreadable ? 1 : 0;
+    m_counts.unreadableLeavings += notices.leavingUnreadable ? 1 : 0;
+    if (!notices.limitUnreadable && !notices.leavingUnreadable)
+        return;
+    const Time now = base::steadyNow();
+    if (m_unreadableLoggedAt && now - *m_unreadableLoggedAt < unreadableLogInterval)
+        return;
+    m_unreadableLoggedAt = now;
+    base::logEvent(base::Event::UpstreamNoticeUnreadable, m_upstream ? m_upstream->service.text + " at " + m_upstream->address.text() : "no upstream");
+}
+
 void Owner::record(const ActiveCall& it, RunEnd how)
 {
     if (how != RunEnd::Good && how != RunEnd::Failed)
@@ -228,6 +263,10 @@
     out.add("appletally_upstream_calls", "stage=\"running\"", load.running);
     out.add("appletally_upstream_calls", "stage=\"waiting\"", load.waiting);
     out.add("appletally_upstream_slots", "", load.slots);
+    out.add("appletally_upstream_limit", "", m_limit.value_or(0));
+    out.add("appletally_upstream_leaving", "", m_leaving ? 1 : 0);
+    count("appletally_upstream_notices_unreadable_total", "field=\"limit\"", m_counts.unreadableLimits);
+    count("appletally_upstream_notices_unreadable_total", "field=\"leaving\"", m_counts.unreadableLeavings);
     if (!m_client)
         return;
     const http::ClientCounts& connections = m_client->counts();
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -13,6 +13,7 @@
 #include "appletally/node/call.h"
 #include "appletally/node/claims.h"
 #include "appletally/node/dialect.h"
+#include "appletally/node/upstream_notices.h"
 #include "appletally/policy/admission.h"
 #include "appletally/policy/local_version_monitor.h"
 
@@ -51,6 +52,8 @@
     uint64_t refused = 0;
     uint64_t cancelled = 0;
     uint64_t failed = 0;
+    uint64_t unreadableLimits = 0;
+    uint64_t unreadableLeavings = 0;
 };
 
 class Owner {
@@ -97,6 +100,9 @@
     void endClaim(ActiveCall&, const std::optional<base::Error>&);
     void applyFollowup(const policy::AdmissionChanges&);
     void onHead(ActiveCall&, const http::AnswerHead&);
+    void onNotices(const UpstreamNotices&, bool mayLift);
+    void setLimit(std::optional<double> perSecond);
+    void logUnreadable(const UpstreamNotices&);
     void onBody(ActiveCall&, evbuffer*);
     void onEnd(ActiveCall&, const http::AnswerEnd&);
     void failRun(ActiveCall&, base::Error); // ends a run whose answer is broken or can no longer arrive in time
@@ -130,6 +136,9 @@
     std::map<base::UpstreamVersion, policy::LocalVersionMonitor> m_localDecisions; // of each version that has run here
     std::map<std::pair<base::RouteName, base::UpstreamVersion>, uint64_t> m_reportedAnswers; // number of answers at the last report
     base::LatencyHistogram m_runTime;
+    std::optional<double> m_limit; // requests a second that the upstream named
+    bool m_leaving = false; // the upstream said so in an answer; holds until another process runs there
+    std::optional<base::Time> m_unreadableLoggedAt;
     OwnerCounts m_counts;
     OwnerCallId m_lastId = 0;
     bool m_draining = false;
