Failing test of an upstream that names a limit

Cause: the owner goes by slots alone. Measured: an upstream that named 20 requests a second got 60 of 60 within 3 ms, where 5 were allowed.

--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -67,6 +67,8 @@
         evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", std::to_string(body.size() + 100).c_str());
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     }
+    for (const auto& [name, value] : headers)
+        evhttp_add_header(evhttp_request_get_output_headers(request), name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
     evhttp_send_reply(request, status, "Answer", nullptr);
 }
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -31,6 +31,7 @@
     appletally::base::Duration delay; // of each answer that is not held
     int status = 200;
     bool truncatesAnswers = false; // announces a longer body than it sends, then closes the connection
+    std::map<std::string, std::string> headers; // further fields of each answer
     size_t bodyBytes = 0; // 0: the body repeats the request's Request-Tag
 
     explicit TestUpstream(event_base*);
--- a/tests/upstream_notices_test.cpp
+++ b/tests/upstream_notices_test.cpp
@@ -1,10 +1,61 @@
 // What upstreams say of themselves in their answers: which values are read, and what follows for callers.
-#include "appletally/node/upstream_notices.h"
+#include "node_fixture.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace appletally;
 
+namespace {
+
+// Node "a" has the upstream; callers connect to both nodes.
+struct Service {
+    TestMesh mesh;
+    TestUpstream upstream { mesh.loop() };
+    TestNode& a = mesh.addNode("a", "z1");
+    TestNode& b = mesh.addNode("b", "z2");
+
+    Service()
+    {
+        mesh.announce(a, upstream, "ready");
+        mesh.applyEverywhere("examples/berthgrid.json");
+    }
+
+    std::vector<std::shared_ptr<TestAnswer>> askMany(int count)
+    {
+        std::vector<std::shared_ptr<TestAnswer>> out;
+        for (int n = 0; n < count; ++n)
+            out.push_back(mesh.ask(n % 2 == 0 ? a : b, "GET", "/berths/" + std::to_string(n), { "Appletally-Timeout-Ms: 1000" }));
+        REQUIRE(mesh.run([&] { return std::all_of(out.begin(), out.end(), [](const auto& it) { return it->done; }); }));
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE("an upstream that names a limit gets no more requests than that from all nodes together", "[node][overload]")
+{
+    // Guards against an upstream in need that gets as many requests as before, because only its slots count.
+    Service it;
+    it.upstream.headers["Appletally-Limit"] = "20";
+    REQUIRE(it.askMany(1)[0]->status == 200);
+    const base::Time since = base::steadyNow();
+    const auto answers = it.askMany(60);
+    const double seconds = static_cast<double>((base::steadyNow() - since).ms) / 1000;
+    CHECK(it.upstream.runs - 1 <= 1.5 * 20 * seconds + 5);
+    CHECK(it.upstream.runs > 2);
+    for (const auto& answer : answers) {
+        CHECK((answer->status == 200 || answer->status == 503));
+        CHECK((answer->status == 200 || (answer->headers["appletally-not-run"] == "1" && answer->headers.contains("retry-after"))));
+    }
+
+    it.upstream.headers.clear();
+    it.mesh.run([&, at = base::steadyNow()] { return base::steadyNow() - at >= base::Duration { 200 }; });
+    REQUIRE(it.askMany(1)[0]->status == 200);
+    for (const auto& answer : it.askMany(60))
+        CHECK(answer->status == 200);
+}
+
 TEST_CASE("values of upstream notices that cannot be read are ignored", "[node]")
 {
     // Guards against a limit of nothing, or of a wrong size, read from a damaged header field.
