A late rollout of a service without traffic does not wait for answers

Cause: a rollout that is late waited up to 10 s at each of its last steps for answers that a service without calls cannot give; a test of two rollouts without traffic took 27.7 s of the 30 s that it allows. Change: with fewer than 20 answers of both versions at a share there is nothing to wait for.

--- a/src/appletally/policy/rollout.cpp
+++ b/src/appletally/policy/rollout.cpp
@@ -383,11 +383,13 @@
     // Answers at the current share from which on more of them settle a suspicion within seconds.
     constexpr uint64_t minAnswersToSettle = 20;
 
-    uint64_t freshAtShare(const RolloutState& state, const config::Rollout& plan)
+    AnswersAtShare sumAtShare(const RolloutState& state, const config::Rollout& plan)
     {
-        uint64_t out = 0;
-        for (const auto& [route, it] : answersAtShare(state, plan))
-            out += it.fresh;
+        AnswersAtShare out;
+        for (const auto& [route, it] : answersAtShare(state, plan)) {
+            out.fresh += it.fresh;
+            out.all += it.all;
+        }
         return out;
     }
 
@@ -419,24 +421,22 @@
     }
 
     // A rollout that is late gains nothing by haste. So many warm answers detect a version that is slow on a part of them,
-    // and those that take longest are among them; after this time at a share the traffic is too little to wait for.
+    // and those that take longest are among them. A service without traffic has nothing to wait for.
     constexpr uint64_t minAnswersWhenLate = 150;
     constexpr base::Duration maxStepDurationWhenLate { 10'000 };
 
     bool mayTakeLastSteps(const RolloutState& state, const config::Rollout& plan, base::WallTime now)
     {
         const bool late = now >= plan.completeBy;
-        const bool enough = !late || freshAtShare(state, plan) >= minAnswersWhenLate || haveReportsArrived(state, maxStepDurationWhenLate, now);
+        const AnswersAtShare answers = sumAtShare(state, plan);
+        const bool isQuiet = answers.all < minAnswersToSettle;
+        const bool enough = !late || isQuiet || answers.fresh >= minAnswersWhenLate || haveReportsArrived(state, maxStepDurationWhenLate, now);
         return enough && isObservedAtShare(state, plan);
     }
 
     std::string describeEvidence(const RolloutState& state, const config::Rollout& plan, double worst)
     {
-        AnswersAtShare sum;
-        for (const auto& [route, it] : answersAtShare(state, plan)) {
-            sum.fresh += it.fresh;
-            sum.all += it.all;
-        }
+        const AnswersAtShare sum = sumAtShare(state, plan);
         std::array<char, 32> score {};
         std::snprintf(score.data(), score.size(), "%.1f", worst);
         return std::to_string(sum.fresh) + " warm answers of " + plan.to.text + " among " + std::to_string(sum.all) + " at the share before, score " + score.data();
@@ -515,7 +515,7 @@
         const bool toAll = !step || step == &state.settings.steps.back();
         if (upstreams.to == 0 || (toAll && !canServeAll(upstreams)))
             return keep(plan, describe(upstreams, plan));
-        const bool settlesSoon = toAll && freshAtShare(state, plan) >= minAnswersToSettle;
+        const bool settlesSoon = toAll && sumAtShare(state, plan).fresh >= minAnswersToSettle;
         if (worst >= state.settings.holdScore && (settlesSoon || now < at(state, plan, holdUntilFraction)))
             return keep(plan, "the evidence points against the version, but does not suffice for a rollback");
         if (!step) {
