Requests to an upstream start no faster than the limit that it names

A back end in need that named 20 requests a second got 55. Cause: nobody read the field; the owner went by slots, and short runs turn six slots over many times a second. Hypotheses 2 and 3 are out: the requests a second are the same before and after the limit is named, and the field's name stood nowhere in the code. Class: a bound on how many at once taken for a bound on how many in time. Change: the owner, the only door of its upstream, starts requests from a token bucket of the named rate with a tenth of a second of burst, for first tries, retries, hedges and calls alike. Commands go first, waiting is estimated by the rate, and what cannot start in time is refused at once with a time to return that the rate allows. Other nodes see it as fewer slots. Zero, or less than one in two seconds, lets one through in two seconds, because only an answer tells that the limit has ended; an answer below 500 without the field ends it, and so does another upstream process. Measured: the listed test failed before (60 of 60 within 3 ms) and passes; three tests of the policy.

--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -199,6 +199,7 @@
 {
     const bool logged = m_limit && perSecond && std::abs(*perSecond - *m_limit) <= minLoggedChange * *m_limit;
     m_limit = perSecond;
+    applyFollowup(policy::setRate(m_admission, perSecond, base::steadyNow()));
     if (!logged && m_upstream)
         base::logEvent(base::Event::UpstreamLimitChanged, m_upstream->service.text + " at " + m_upstream->address.text() + ": " + (perSecond ? std::to_string(*perSecond) + " requests a second" : "no limit"));
 }
--- a/src/appletally/policy/admission.cpp
+++ b/src/appletally/policy/admission.cpp
@@ -49,6 +49,7 @@
     // waiting for a slot.
     constexpr double retryDelayShare = 0.8;
     constexpr base::Duration idleTickInterval { 1000 };
+    constexpr double minUsableSlots = 0.01; // keeps estimates finite at the lowest rates
 
     size_t classOf(const Admission& it, const Arrival& arrival)
     {
@@ -91,11 +92,34 @@
 
     bool slotFree(const Admission& it, base::Duration run, base::Time now)
     {
+        if (it.rate && !mayTake(*it.rate, now))
+            return false;
         if (static_cast<int>(it.running.size()) >= it.slots.limit)
             return false;
         return !isLong(run) || longRunning(it) < longSlots(it, now);
     }
 
+    // Slots that runs of this length can keep in use.
+    double usableSlots(const Admission& it, base::Duration run)
+    {
+        const double slots = it.slots.limit;
+        return it.rate ? std::min(slots, it.rate->perSecond * static_cast<double>(run.ms) / 1000) : slots;
+    }
+
+    base::Duration rounded(double ms)
+    {
+        return { static_cast<int64_t>(std::min(std::ceil(ms), static_cast<double>(std::numeric_limits<int32_t>::max()))) };
+    }
+
+    // Usual run over all routes observed here.
+    base::Duration meanRun(const Admission& it)
+    {
+        double sum = 0;
+        for (const auto& [route, run] : it.runs)
+            sum += run.mean;
+        return it.runs.empty() ? Arrival {}.expected : rounded(sum / static_cast<double>(it.runs.size()));
+    }
+
     // Updates the moving means and the minimum share deficits.
     void updateAverages(Admission& it, base::Time now)
     {
@@ -114,7 +138,7 @@
             if (each.queue.empty())
                 each.minShareDeficit = 0;
             else
-                each.minShareDeficit = std::min(each.minShareDeficit + passed * minShare * it.slots.limit, static_cast<double>(each.queue.front().run.ms));
+                each.minShareDeficit = std::min(each.minShareDeficit + passed * minShare * usableSlots(it, each.queue.front().run), static_cast<double>(each.queue.front().run.ms));
         }
     }
 
@@ -123,6 +147,7 @@
         double slots = 1; // for short requests
         double longSlots = 1;
         double untilSlotFree = 0; // milliseconds until the next slot is free
+        double requestsAhead = 0; // all that start earlier
         double higherClassSlots = 0; // slots held by higher classes
         double workAhead = 0; // slot-milliseconds of all requests that start earlier
         double longAhead = 0;
@@ -145,16 +170,18 @@
 
     // Milliseconds until a request of class `n` starts after the work in the forecast. It starts at the rate that
     // higher classes leave or by its minimum share, whichever is sooner.
-    double estimatedWait(const Admission& it, const Forecast& forecast, size_t n, base::Duration run)
+    double estimatedWait(const Admission& it, const Forecast& forecast, size_t n, base::Duration run, base::Time now)
     {
         const double left = forecast.slots - forecast.higherClassSlots;
         double wait = forecast.untilSlotFree + (left > 0.5 ? forecast.workAhead / left : std::numeric_limits<double>::max() / 4);
         if (n > 0) {
             const double minShareDeficit = forecast.aheadInClass + static_cast<double>(run.ms) - it.classes[n].minShareDeficit;
-            wait = std::min(wait, forecast.untilSlotFree + std::max(0.0, minShareDeficit) / (minShare * it.slots.limit));
+            wait = std::min(wait, forecast.untilSlotFree + std::max(0.0, minShareDeficit) / (minShare * std::max(usableSlots(it, run), minUsableSlots)));
         }
         if (isLong(run))
             wait = std::max(wait, forecast.longAhead / forecast.longSlots);
+        if (it.rate)
+            wait = std::max(wait, static_cast<double>(waitFor(*it.rate, forecast.requestsAhead, now).ms));
         return wait;
     }
 
@@ -163,6 +190,7 @@
         const auto work = static_cast<double>(run.ms);
         forecast.workAhead += work;
         forecast.aheadInClass += work;
+        forecast.requestsAhead += 1;
         if (isLong(run))
             forecast.longAhead += work;
     }
@@ -174,17 +202,13 @@
             forecast.higherClassSlots += it.classes[n - 1].recentSlots;
     }
 
-    base::Duration rounded(double ms)
-    {
-        return { static_cast<int64_t>(std::min(std::ceil(ms), static_cast<double>(std::numeric_limits<int32_t>::max()))) };
-    }
-
     // Retry delay of a refused request: when a slot is expected to be free, and after the retries assigned before it.
     // Without that second part all requests that a burst refused would return together as the next burst.
     base::Duration scheduleRetry(Admission& it, const Waiting& refused, base::Duration wait, base::Duration allowed, base::Time now)
     {
         const base::Time room = now + std::max(wait - allowed, minRetryAfter);
-        const base::Duration each { std::max<int64_t>(1, runsPerRetry * refused.run.ms / it.slots.limit) };
+        const int64_t ratePart = it.rate ? static_cast<int64_t>(static_cast<double>(runsPerRetry) * 1000 / it.rate->perSecond) : 0;
+        const base::Duration each { std::max<int64_t>({ 1, runsPerRetry * refused.run.ms / it.slots.limit, ratePart }) };
         it.retriesScheduledUntil = std::max(it.retriesScheduledUntil + each, room);
         if (it.retriesScheduledUntil - now > maxRetryAfter) // continue in the second half: still spread, still bounded
             it.retriesScheduledUntil = std::max(room, now + maxRetryAfter / 2);
@@ -258,7 +282,7 @@
             std::vector<size_t> infeasible;
             for (const size_t place : startOrder(it, each, now)) {
                 const Waiting& waiting = each.queue[place];
-                const base::Duration wait = rounded(estimatedWait(it, forecast, n, waiting.run));
+                const base::Duration wait = rounded(estimatedWait(it, forecast, n, waiting.run, now));
                 const base::Duration slack = waiting.arrival.deadline - now - waiting.run;
                 if (wait <= slack) {
                     addWork(forecast, waiting.run);
@@ -317,6 +341,8 @@
     {
         advance(each.order, waiting.start);
         each.minShareDeficit = std::max(0.0, each.minShareDeficit - static_cast<double>(waiting.run.ms));
+        if (it.rate)
+            take(*it.rate, now);
         it.running[waiting.arrival.id] = { waiting.arrival, now, isLong(waiting.run), false };
     }
 
@@ -373,7 +399,7 @@
         if (workAhead == each.queue.size())
             forecast.higherClassSlots += each.recentOvertaking;
         forecast.higherClassSlots *= surgeMargin;
-        return rounded(estimatedWait(it, forecast, of, run));
+        return rounded(estimatedWait(it, forecast, of, run, now));
     }
 
     bool hasTrial(const Admission& it, const base::RouteName& route)
@@ -517,6 +543,8 @@
 base::Time nextTick(const Admission& it, base::Time now)
 {
     base::Time next = now + idleTickInterval;
+    if (it.rate && waitingCount(it) > 0)
+        next = std::min(next, now + waitFor(*it.rate, 0, now));
     if (it.lastShortArrival + shortRequestMemory > now) // then long jobs may use more slots
         next = std::min(next, it.lastShortArrival + shortRequestMemory);
     for (const Class& each : it.classes)
@@ -530,6 +558,7 @@
     it.runs.clear();
     it.slots = { it.slots.announced, it.slots.announced };
     it.readySince = now;
+    it.rate.reset();
 }
 
 AdmissionChanges setSlots(Admission& it, int announced, base::Time now)
@@ -539,6 +568,18 @@
     return startWaiting(it, now);
 }
 
+AdmissionChanges setRate(Admission& it, std::optional<double> perSecond, base::Time now)
+{
+    updateAverages(it, now);
+    if (!perSecond)
+        it.rate.reset();
+    else if (it.rate)
+        changeRate(*it.rate, *perSecond, now);
+    else
+        it.rate = startRateLimit(*perSecond, now);
+    return startWaiting(it, now);
+}
+
 AdmissionChanges drain(Admission& it, base::Time now)
 {
     it.draining = true;
@@ -552,7 +593,10 @@
     base::Duration wait;
     if (!slotFree(it, shortRun, now))
         wait = waitFor(it, of, it.classes[of].queue.size(), shortRun, now);
-    return { static_cast<int>(it.running.size()), waitingCount(it), it.slots.limit, it.draining, wait, slowStartProgressAt(it, now) };
+    // Callers' nodes go by slots. A rate keeps fewer in use, and while no request may start it is as if one waited for a slot.
+    const int waiting = waitingCount(it) + (it.rate && !mayTake(*it.rate, now) ? 1 : 0);
+    const int slots = std::max(1, static_cast<int>(usableSlots(it, meanRun(it))));
+    return { static_cast<int>(it.running.size()), waiting, slots, it.draining, wait, slowStartProgressAt(it, now) };
 }
 
 } // namespace appletally::policy
--- a/src/appletally/policy/admission.h
+++ b/src/appletally/policy/admission.h
@@ -15,6 +15,8 @@
 //   return at once; served first come, first served, the oldest are late already and make all others late.
 // - Long jobs hold only a part of the slots, since a running job is never preempted.
 // - The number of slots in use adapts to the upstream's throughput (concurrency_limit.h).
+// - Requests start no faster than the upstream names (rate_limit.h); those that would wait too long for it are refused
+//   like those that would wait too long for a slot.
 #pragma once
 
 #include "appletally/base/result.h"
@@ -22,6 +24,7 @@
 #include "appletally/policy/concurrency_limit.h"
 #include "appletally/policy/fair_order.h"
 #include "appletally/policy/load.h"
+#include "appletally/policy/rate_limit.h"
 #include "appletally/policy/run_estimate.h"
 
 #include <array>
@@ -104,6 +107,7 @@
 
     AdmissionOptions options;
     ConcurrencyLimit slots;
+    std::optional<RateLimit> rate; // empty: the upstream names none
     bool draining = false;
     std::map<RequestId, Running> running; // more than slots.limit only just after the limit was lowered
     std::array<Class, config::priorityCount> classes;
@@ -134,6 +138,7 @@
 void upstreamStarted(Admission&, base::Time now);
 
 AdmissionChanges setSlots(Admission&, int announced, base::Time now); // upper limit announced by the upstream
+AdmissionChanges setRate(Admission&, std::optional<double> perSecond, base::Time now); // named by the upstream
 AdmissionChanges drain(Admission&, base::Time now); // refuses new requests from now on; waiting ones still run
 Load load(const Admission&, base::Time now);
 
--- /dev/null
+++ b/src/appletally/policy/rate_limit.h
@@ -0,0 +1,27 @@
+// Limits the requests that an upstream gets in time: a token bucket with the rate that the upstream named.
+//
+// Load pattern: an upstream in need (a failing disk, a slow dependency of its own) takes fewer requests a second than its
+// slots let through. Slots bound the requests at one moment; short runs turn them over many times a second, so the
+// upstream gets as much as before. The node beside it is its only door, so a bucket there holds for all callers together.
+#pragma once
+
+#include "appletally/base/clock.h"
+
+namespace appletally::policy {
+
+struct RateLimit {
+    double perSecond = 0; // invariant: at least minRequestRate
+    double tokens = 0; // at refilledAt; one is taken by each request
+    base::Time refilledAt;
+};
+
+RateLimit startRateLimit(double perSecond, base::Time now); // without tokens: the upstream has just had its requests
+void changeRate(RateLimit&, double perSecond, base::Time now);
+
+bool mayTake(const RateLimit&, base::Time now);
+void take(RateLimit&, base::Time now); // call only if mayTake()
+
+// Until a request can start that has `ahead` others before it.
+base::Duration waitFor(const RateLimit&, double ahead, base::Time now);
+
+} // namespace appletally::policy
