Failing test of an upstream that says in an answer that it leaves

Cause: an upstream that leaves says so in its answers from now on, and the owner goes by heartbeats alone.

--- a/tests/upstream_notices_test.cpp
+++ b/tests/upstream_notices_test.cpp
@@ -56,6 +56,25 @@
         CHECK(answer->status == 200);
 }
 
+TEST_CASE("an upstream that says in an answer that it leaves gets no new requests", "[node]")
+{
+    // Guards against requests to an upstream that leaves and whose announcement was lost, or arrives late.
+    Service it;
+    it.upstream.headers["Appletally-Leaving"] = "1";
+    REQUIRE(it.askMany(1)[0]->status == 200);
+    it.mesh.announce(it.a, it.upstream, "ready");
+    for (const auto& answer : it.askMany(4)) {
+        CHECK(answer->status == 503);
+        CHECK(answer->headers["appletally-not-run"] == "1");
+    }
+    CHECK(it.upstream.runs == 1);
+
+    TestUpstream next(it.mesh.loop());
+    it.mesh.announce(it.a, next, "ready");
+    it.mesh.shareEndpoints();
+    CHECK(it.askMany(1)[0]->status == 200);
+}
+
 TEST_CASE("values of upstream notices that cannot be read are ignored", "[node]")
 {
     // Guards against a limit of nothing, or of a wrong size, read from a damaged header field.
