An upstream that says in an answer that it leaves gets no new requests

Callers lost requests that reached a back end which was about to stop, where its heartbeat was lost or late. Cause: the owner went by heartbeats alone. Class: one channel trusted where a second one says more, and sooner. Change: the owner, the only door of its upstream, drains it at the first such answer, refuses what is queued after a second as at any drain, and announces it as draining to all nodes at once. A late 'ready' announcement of the same process does not take that back, also after it deregistered; a process with another id or a later start does.

--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -59,7 +59,7 @@
 {
     if (!m_upstream)
         return EndpointState::Gone;
-    return m_draining ? EndpointState::Draining : m_upstream->state;
+    return m_draining || m_leaving ? EndpointState::Draining : m_upstream->state;
 }
 
 policy::Load Owner::currentLoad() const { return policy::load(m_admission, base::steadyNow()); }
@@ -135,7 +135,7 @@
     const bool first = !m_upstream;
     const bool becameReady = announcement.state == EndpointState::Ready && (first || m_upstream->state != EndpointState::Ready || m_upstream->version != announcement.version);
     const bool another = first || m_upstream->address != announcement.address || m_upstream->version != announcement.version || m_upstream->id != announcement.id;
-    const bool changed = another || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
+    const bool changed = another || m_upstream->startedAtMs != announcement.startedAtMs || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
     m_announcedAt = base::steadyNow();
     if (another) {
         // Another upstream process has taken over; calls that ran on the previous one will not be answered.
@@ -148,15 +148,19 @@
         }
         m_client = std::make_unique<http::UpstreamClient>(m_loop, announcement.address);
         m_limit.reset();
-        m_leaving = false;
         policy::upstreamStarted(m_admission, m_announcedAt + std::min(announcement.slowStartRemaining, policy::slowStart) - policy::slowStart);
     }
+    const bool restarted = another || m_upstream->startedAtMs != announcement.startedAtMs;
     m_upstream = announcement;
+    if (restarted) {
+        m_leaving = isLeaving(announcement);
+        setLimit({});
+    }
     if (becameReady)
         policy::onUpstreamReady(*localDecision(), m_announcedAt);
     if (!changed)
         return;
-    if (announcement.state == EndpointState::Draining) {
+    if (announcement.state == EndpointState::Draining || m_leaving) {
         m_drainingSince = m_drainingSince.value_or(m_announcedAt);
         applyFollowup(policy::drain(m_admission, m_announcedAt));
     } else if (!m_draining) {
@@ -164,7 +168,7 @@
         m_admission.draining = false;
         applyFollowup(policy::setSlots(m_admission, announcement.slots, m_announcedAt));
     }
-    base::logEvent(announcement.state == EndpointState::Draining ? base::Event::UpstreamLeft : base::Event::UpstreamAnnounced,
+    base::logEvent(state() == EndpointState::Draining ? base::Event::UpstreamLeft : base::Event::UpstreamAnnounced,
         announcement.service.text + " " + announcement.version.text + " at " + announcement.address.text());
     m_events.load(currentLoad());
     m_events.changed();
@@ -192,11 +196,32 @@
     logUnreadable(notices);
     if (notices.limit || (mayLift && m_limit && !notices.limitUnreadable))
         setLimit(notices.limit);
-    m_leaving = m_leaving || notices.leaving;
+    if (notices.leaving && !m_leaving && m_upstream)
+        onLeaving();
+}
+
+void Owner::onLeaving()
+{
+    const Time now = base::steadyNow();
+    m_leaving = true;
+    if (!m_upstream->id.empty())
+        m_leavingProcess = { m_upstream->id, m_upstream->startedAtMs };
+    m_drainingSince = m_drainingSince.value_or(now);
+    base::logEvent(base::Event::UpstreamLeft, m_upstream->service.text + " " + m_upstream->version.text + " at " + m_upstream->address.text() + ": it said so in an answer");
+    applyFollowup(policy::drain(m_admission, now));
+    m_events.load(currentLoad());
+    m_events.changed();
+}
+
+bool Owner::isLeaving(const Announcement& it) const
+{
+    return m_leavingProcess && m_leavingProcess->first == it.id && m_leavingProcess->second == it.startedAtMs;
 }
 
 void Owner::setLimit(std::optional<double> perSecond)
 {
+    if (!m_limit && !perSecond)
+        return;
     const bool logged = m_limit && perSecond && std::abs(*perSecond - *m_limit) <= minLoggedChange * *m_limit;
     m_limit = perSecond;
     applyFollowup(policy::setRate(m_admission, perSecond, base::steadyNow()));
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -34,6 +34,7 @@
     int slots = 1;
     config::EndpointState state = config::EndpointState::Starting;
     std::string id; // id of the upstream process; empty: none
+    uint64_t startedAtMs = 0; // start of that process; distinguishes restarts under one id; 0: not known
     base::Duration slowStartRemaining = policy::slowStart; // remaining slow start after a cold start
 };
 
@@ -102,6 +103,8 @@
     void onHead(ActiveCall&, const http::AnswerHead&);
     void onNotices(const UpstreamNotices&, bool mayLift);
     void setLimit(std::optional<double> perSecond);
+    void onLeaving(); // the upstream said in an answer that it takes no new requests
+    bool isLeaving(const Announcement&) const;
     void logUnreadable(const UpstreamNotices&);
     void onBody(ActiveCall&, evbuffer*);
     void onEnd(ActiveCall&, const http::AnswerEnd&);
@@ -137,7 +140,8 @@
     std::map<std::pair<base::RouteName, base::UpstreamVersion>, uint64_t> m_reportedAnswers; // number of answers at the last report
     base::LatencyHistogram m_runTime;
     std::optional<double> m_limit; // requests a second that the upstream named
-    bool m_leaving = false; // the upstream said so in an answer; holds until another process runs there
+    bool m_leaving = false; // the upstream said so in an answer; a late announcement does not take it back
+    std::optional<std::pair<std::string, uint64_t>> m_leavingProcess; // id and start of the last one that said so, if it has an id
     std::optional<base::Time> m_unreadableLoggedAt;
     OwnerCounts m_counts;
     OwnerCallId m_lastId = 0;
--- a/tests/upstream_notices_test.cpp
+++ b/tests/upstream_notices_test.cpp
@@ -75,6 +75,26 @@
     CHECK(it.askMany(1)[0]->status == 200);
 }
 
+TEST_CASE("an upstream that left takes requests again once it has restarted under its id", "[node]")
+{
+    // Guards against an upstream process that gets no requests for what its predecessor said, or that gets some for a late
+    // announcement of the process that leaves.
+    Service it;
+    node::Announcement announcement { { "berth-data" }, { "1.0" }, it.upstream.address, 10, config::EndpointState::Ready, "i-1", 1 };
+    it.a.node->announce(announcement);
+    it.upstream.headers["Appletally-Leaving"] = "1";
+    REQUIRE(it.askMany(1)[0]->status == 200);
+    it.upstream.headers.clear();
+    it.a.node->onUpstreamLeft();
+    it.a.node->announce(announcement);
+    it.mesh.shareEndpoints();
+    CHECK(it.askMany(1)[0]->status == 503);
+    announcement.startedAtMs = 2;
+    it.a.node->announce(announcement);
+    it.mesh.shareEndpoints();
+    CHECK(it.askMany(1)[0]->status == 200);
+}
+
 TEST_CASE("values of upstream notices that cannot be read are ignored", "[node]")
 {
     // Guards against a limit of nothing, or of a wrong size, read from a damaged header field.
