--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -135,7 +135,8 @@
     const bool first = !m_upstream;
     const bool becameReady = announcement.state == EndpointState::Ready && (first || m_upstream->state != EndpointState::Ready || m_upstream->version != announcement.version);
     const bool another = first || m_upstream->address != announcement.address || m_upstream->version != announcement.version || m_upstream->id != announcement.id;
-    const bool changed = another || m_upstream->startedAtMs != announcement.startedAtMs || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
+    const bool restarted = another || m_upstream->startedAtMs != announcement.startedAtMs;
+    const bool changed = restarted || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
     m_announcedAt = base::steadyNow();
     if (another) {
         // Another upstream process has taken over; calls that ran on the previous one will not be answered.
@@ -147,10 +148,8 @@
                 failRun(*it, base::fail(Code::OutcomeUnknown, "the upstream was replaced"));
         }
         m_client = std::make_unique<http::UpstreamClient>(m_loop, announcement.address);
-        m_limit.reset();
         policy::upstreamStarted(m_admission, m_announcedAt + std::min(announcement.slowStartRemaining, policy::slowStart) - policy::slowStart);
     }
-    const bool restarted = another || m_upstream->startedAtMs != announcement.startedAtMs;
     m_upstream = announcement;
     if (restarted) {
         m_leaving = isLeaving(announcement);
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -246,11 +246,13 @@
     const bool refused = head.status == 503 || head.status == 429 || head.status == misdirected;
     it.notRunByUpstream = refused && (head.status == misdirected || http::findHeader(head.headers, m_settings.dialect.notRun));
     it.misdirected = head.status == misdirected;
+    const bool isItsOwn = !it.misdirected;
     // Failures and refusals may come from a part of the upstream that names no limit, so they do not lift one.
-    if (!it.misdirected)
-        onNotices(readNotices(head.headers, m_settings.dialect), head.status < 500 && !it.notRunByUpstream);
+    const bool mayLift = head.status < 500 && !it.notRunByUpstream;
     if (!it.notRunByUpstream && !it.detached && it.handler.head)
         it.handler.head(head);
+    if (isItsOwn) // last, because it may end calls
+        onNotices(readNotices(head.headers, m_settings.dialect), mayLift);
 }
 
 void Owner::onBody(ActiveCall& it, evbuffer* buf)
--- a/src/appletally/policy/admission.cpp
+++ b/src/appletally/policy/admission.cpp
@@ -106,20 +106,6 @@
         return it.rate ? std::min(slots, it.rate->perSecond * static_cast<double>(run.ms) / 1000) : slots;
     }
 
-    base::Duration rounded(double ms)
-    {
-        return { static_cast<int64_t>(std::min(std::ceil(ms), static_cast<double>(std::numeric_limits<int32_t>::max()))) };
-    }
-
-    // Usual run over all routes observed here.
-    base::Duration meanRun(const Admission& it)
-    {
-        double sum = 0;
-        for (const auto& [route, run] : it.runs)
-            sum += run.mean;
-        return it.runs.empty() ? Arrival {}.expected : rounded(sum / static_cast<double>(it.runs.size()));
-    }
-
     // Updates the moving means and the minimum share deficits.
     void updateAverages(Admission& it, base::Time now)
     {
@@ -202,6 +188,11 @@
             forecast.higherClassSlots += it.classes[n - 1].recentSlots;
     }
 
+    base::Duration rounded(double ms)
+    {
+        return { static_cast<int64_t>(std::min(std::ceil(ms), static_cast<double>(std::numeric_limits<int32_t>::max()))) };
+    }
+
     // Retry delay of a refused request: when a slot is expected to be free, and after the retries assigned before it.
     // Without that second part all requests that a burst refused would return together as the next burst.
     base::Duration scheduleRetry(Admission& it, const Waiting& refused, base::Duration wait, base::Duration allowed, base::Time now)
@@ -595,7 +586,7 @@
         wait = waitFor(it, of, it.classes[of].queue.size(), shortRun, now);
     // Callers' nodes go by slots. A rate keeps fewer in use, and while no request may start it is as if one waited for a slot.
     const int waiting = waitingCount(it) + (it.rate && !mayTake(*it.rate, now) ? 1 : 0);
-    const int slots = std::max(1, static_cast<int>(usableSlots(it, meanRun(it))));
+    const int slots = std::max(1, static_cast<int>(usableSlots(it, meanRun(it.runs))));
     return { static_cast<int>(it.running.size()), waiting, slots, it.draining, wait, slowStartProgressAt(it, now) };
 }
 
--- a/src/appletally/policy/run_estimate.cpp
+++ b/src/appletally/policy/run_estimate.cpp
@@ -33,6 +33,15 @@
     return { static_cast<int64_t>(std::lround(std::max(mean, minRunMs))) };
 }
 
+base::Duration meanRun(const RunEstimates& runs)
+{
+    constexpr base::Duration unknownRun { 20 };
+    double sum = 0;
+    for (const auto& [route, run] : runs)
+        sum += run.mean;
+    return runs.empty() ? unknownRun : base::Duration { static_cast<int64_t>(std::ceil(sum / static_cast<double>(runs.size()))) };
+}
+
 std::optional<base::Duration> observedRun(const RunEstimates& it, const base::RouteName& route)
 {
     return it.contains(route) ? std::optional(usualRun(it, route, {})) : std::nullopt;
--- a/src/appletally/policy/run_estimate.h
+++ b/src/appletally/policy/run_estimate.h
@@ -25,6 +25,9 @@
 // time.
 base::Duration usualRun(const RunEstimates&, const base::RouteName&, base::Duration expected);
 
+// Mean over all routes observed here; 20 ms before the first run ended.
+base::Duration meanRun(const RunEstimates&);
+
 // The usual run time observed here; none before the first run ended.
 std::optional<base::Duration> observedRun(const RunEstimates&, const base::RouteName&);
 
--- a/tests/upstream_notices_test.cpp
+++ b/tests/upstream_notices_test.cpp
@@ -24,6 +24,7 @@
     std::vector<std::shared_ptr<TestAnswer>> askMany(int count)
     {
         std::vector<std::shared_ptr<TestAnswer>> out;
+        out.reserve(static_cast<size_t>(count));
         for (int n = 0; n < count; ++n)
             out.push_back(mesh.ask(n % 2 == 0 ? a : b, "GET", "/berths/" + std::to_string(n), { "Appletally-Timeout-Ms: 1000" }));
         REQUIRE(mesh.run([&] { return std::all_of(out.begin(), out.end(), [](const auto& it) { return it->done; }); }));
