The load model moves its tick forward when a request has to wait

Cause: the model schedules one tick ahead, up to a second, and kept it when a later request needed an earlier one; under a rate limit that left half of the tokens unused, which no node does (it ticks every 5 ms while it has calls). Change: a nextTick() before the scheduled one replaces it. Checked: all tests of the policy with the model as it was for the code before and as it is now.

--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -101,7 +101,7 @@
     std::deque<size_t> fifo;
     int running = 0;
     int taken = 0; // requests that reached it
-    bool tickScheduled = false;
+    std::optional<Time> tickAt; // the next scheduled tick
 };
 
 struct Model {
@@ -299,11 +299,14 @@
 
     void scheduleTick(size_t n)
     {
-        if (upstreams[n].tickScheduled)
+        const Time next = nextTick(upstreams[n].admission, now);
+        if (upstreams[n].tickAt && *upstreams[n].tickAt <= next)
             return;
-        upstreams[n].tickScheduled = true;
-        at(nextTick(upstreams[n].admission, now), [this, n] {
-            upstreams[n].tickScheduled = false;
+        upstreams[n].tickAt = next;
+        at(next, [this, n, next] {
+            if (upstreams[n].tickAt != next)
+                return; // an earlier one has been scheduled since
+            upstreams[n].tickAt.reset();
             apply(tick(upstreams[n].admission, now));
             if (load(upstreams[n].admission, now).waiting > 0)
                 scheduleTick(n);
