Under a rate limit lower classes are told at once what higher ones leave of it

Cause: a read below commands that take most of a limited upstream's rate was let in by an estimate that knew the requests ahead of it and not those to come, and refused after 0.4 s. And the load that callers' nodes see counted a waiting request that was none, which also stood in the metrics. Change: each class keeps a moving mean of its starts; the forecast of a lower class gets what the higher ones leave, a tenth at least. The load has the true count again; callers' nodes go by the slots that the rate keeps in use.

--- a/src/appletally/policy/admission.cpp
+++ b/src/appletally/policy/admission.cpp
@@ -38,6 +38,7 @@
     constexpr double surgeMargin = 1.5;
 
     constexpr base::Duration averagingWindow { 500 }; // of the moving means; half a second of 10 slots is 250 usual runs
+    constexpr base::Duration startsWindow { 2000 }; // of the mean of starts; a rate of a few a second shows in no less
     constexpr base::Duration minRetryAfter { 20 };
     constexpr base::Duration maxRetryAfter { 15'000 }; // estimates further ahead mean nothing
 
@@ -117,10 +118,12 @@
         for (const auto& [id, running] : it.running)
             held[classOf(it, running.arrival)] += 1;
         const double weight = 1 - std::exp(-passed / static_cast<double>(averagingWindow.ms));
+        const double startsKept = std::exp(-passed / static_cast<double>(startsWindow.ms));
         for (size_t n = 0; n < it.classes.size(); ++n) {
             Class& each = it.classes[n];
             each.recentSlots += (held[n] - each.recentSlots) * weight;
             each.recentOvertaking -= each.recentOvertaking * weight;
+            each.recentStarts *= startsKept;
             if (each.queue.empty())
                 each.minShareDeficit = 0;
             else
@@ -135,6 +138,7 @@
         double untilSlotFree = 0; // milliseconds until the next slot is free
         double requestsAhead = 0; // all that start earlier
         double higherClassSlots = 0; // slots held by higher classes
+        double higherClassRate = 0; // starts a second of higher classes
         double workAhead = 0; // slot-milliseconds of all requests that start earlier
         double longAhead = 0;
         double aheadInClass = 0;
@@ -167,7 +171,7 @@
         if (isLong(run))
             wait = std::max(wait, forecast.longAhead / forecast.longSlots);
         if (it.rate)
-            wait = std::max(wait, static_cast<double>(waitFor(*it.rate, forecast.requestsAhead, now).ms));
+            wait = std::max(wait, static_cast<double>(waitFor(*it.rate, forecast.requestsAhead, std::max(1 - forecast.higherClassRate / it.rate->perSecond, minShare), now).ms));
         return wait;
     }
 
@@ -184,8 +188,10 @@
     void enterClass(const Admission& it, Forecast& forecast, size_t n)
     {
         forecast.aheadInClass = 0;
-        if (n > 0)
-            forecast.higherClassSlots += it.classes[n - 1].recentSlots;
+        if (n == 0)
+            return;
+        forecast.higherClassSlots += it.classes[n - 1].recentSlots;
+        forecast.higherClassRate += it.classes[n - 1].recentStarts;
     }
 
     base::Duration rounded(double ms)
@@ -332,6 +338,7 @@
     {
         advance(each.order, waiting.start);
         each.minShareDeficit = std::max(0.0, each.minShareDeficit - static_cast<double>(waiting.run.ms));
+        each.recentStarts += 1000.0 / static_cast<double>(startsWindow.ms);
         if (it.rate)
             take(*it.rate, now);
         it.running[waiting.arrival.id] = { waiting.arrival, now, isLong(waiting.run), false };
@@ -390,6 +397,7 @@
         if (workAhead == each.queue.size())
             forecast.higherClassSlots += each.recentOvertaking;
         forecast.higherClassSlots *= surgeMargin;
+        forecast.higherClassRate *= surgeMargin;
         return rounded(estimatedWait(it, forecast, of, run, now));
     }
 
@@ -535,7 +543,7 @@
 {
     base::Time next = now + idleTickInterval;
     if (it.rate && waitingCount(it) > 0)
-        next = std::min(next, now + waitFor(*it.rate, 0, now));
+        next = std::min(next, now + waitFor(*it.rate, 0, 1, now));
     if (it.lastShortArrival + shortRequestMemory > now) // then long jobs may use more slots
         next = std::min(next, it.lastShortArrival + shortRequestMemory);
     for (const Class& each : it.classes)
@@ -584,10 +592,9 @@
     base::Duration wait;
     if (!slotFree(it, shortRun, now))
         wait = waitFor(it, of, it.classes[of].queue.size(), shortRun, now);
-    // Callers' nodes go by slots. A rate keeps fewer in use, and while no request may start it is as if one waited for a slot.
-    const int waiting = waitingCount(it) + (it.rate && !mayTake(*it.rate, now) ? 1 : 0);
+    // Callers' nodes go by slots, and a rate keeps fewer of them in use.
     const int slots = std::max(1, static_cast<int>(usableSlots(it, meanRun(it.runs))));
-    return { static_cast<int>(it.running.size()), waiting, slots, it.draining, wait, slowStartProgressAt(it, now) };
+    return { static_cast<int>(it.running.size()), waitingCount(it), slots, it.draining, wait, slowStartProgressAt(it, now) };
 }
 
 } // namespace appletally::policy
--- a/src/appletally/policy/admission.h
+++ b/src/appletally/policy/admission.h
@@ -102,6 +102,7 @@
         FairOrder order;
         double minShareDeficit = 0; // slot-milliseconds of its minimum share that this class did not get while requests waited
         double recentSlots = 0; // moving mean of the slots held by this class
+        double recentStarts = 0; // moving mean of the requests a second of this class that started
         double recentOvertaking = 0; // moving mean, in slots, of the work that was queued ahead of the end of the queue
     };
 
--- a/src/appletally/policy/rate_limit.cpp
+++ b/src/appletally/policy/rate_limit.cpp
@@ -48,9 +48,9 @@
     it.tokens -= 1;
 }
 
-base::Duration waitFor(const RateLimit& it, double ahead, base::Time now)
+base::Duration waitFor(const RateLimit& it, double ahead, double part, base::Time now)
 {
-    const double seconds = std::max(0.0, ahead + 1 - tokensAt(it, now)) / it.perSecond;
+    const double seconds = std::max(0.0, ahead + 1 - tokensAt(it, now)) / (it.perSecond * part);
     return { static_cast<int64_t>(std::ceil(seconds * 1000)) };
 }
 
--- a/src/appletally/policy/rate_limit.h
+++ b/src/appletally/policy/rate_limit.h
@@ -21,7 +21,7 @@
 bool mayTake(const RateLimit&, base::Time now);
 void take(RateLimit&, base::Time now); // call only if mayTake()
 
-// Until a request can start that has `ahead` others before it.
-base::Duration waitFor(const RateLimit&, double ahead, base::Time now);
+// Until a request can start that has `ahead` others before it and gets this part of the rate, above 0 and at most 1.
+base::Duration waitFor(const RateLimit&, double ahead, double part, base::Time now);
 
 } // namespace appletally::policy
