A leader that took over waits longer before it calls a service quiet

Cause: a late rollout of a service with fewer than 20 answers at its share goes by the schedule. After a restart of all, callers return over seconds, so a new leader found the service quiet and completed on three cold answers. Change: a leader that has not set the share itself gives reports 5 s before that. The head comment of rollout.h names the two steps that it is about.

--- a/src/appletally/policy/rollout.h
+++ b/src/appletally/policy/rollout.h
@@ -10,9 +10,8 @@
 // load, by a sequential test (sequential_test.h) of failures, of latency beyond the accepted factor, and of stalls far
 // beyond it. The share is raised in steps: on sufficient evidence, or without it when `completeBy` requires it.
 //
-// A schedule is not evidence. A step that is due is taken only if the new version has answered its part of the traffic at
-// the share before: a restart of all processes takes the counters of nodes and the tests of the leader, and what is not
-// known against a version must not count for it.
+// Nothing undoes the step to all traffic and the completion, and a schedule is not evidence. Both are taken only if the
+// new version has answered its part of the traffic at the share before (rollout_evidence.h).
 //
 // A version without ready upstreams produces no evidence against it either. So no step is taken without ready upstreams
 // of the new version, the last step only with enough of them to serve all traffic, and a rollout that lacks them at its
--- a/src/appletally/policy/rollout_evidence.cpp
+++ b/src/appletally/policy/rollout_evidence.cpp
@@ -117,7 +117,8 @@
 {
     const bool late = now >= plan.completeBy;
     const AnswersAtShare answers = sumAtShare(state, plan);
-    const bool isQuiet = answers.all < minAnswersToSettle;
+    const bool tookOver = *state.leadsSince > state.lastRaise; // callers may still be on their way back
+    const bool isQuiet = answers.all < minAnswersToSettle && haveReportsArrived(state, tookOver ? maxReportDelay : base::Duration {}, now);
     const bool enough = !late || isQuiet || answers.fresh >= minAnswersWhenLate || haveReportsArrived(state, maxStepDurationWhenLate, now);
     return enough && isObservedAtShare(state, plan);
 }
--- a/tests/rollout_evidence_test.cpp
+++ b/tests/rollout_evidence_test.cpp
@@ -94,6 +94,10 @@
     Restarted service;
     REQUIRE(service.play({ .slowPart = 1 }, { 30'000 }) == RolloutAction::RollBack);
     CHECK(service.plan.share < base::PerMille { 1000 });
+
+    Restarted moved; // callers return slowly
+    moved.plan.share = { 1000 };
+    CHECK(moved.play({ .perSecond = 1 }, { 4000 }) == RolloutAction::Keep);
 }
 
 TEST_CASE("a rollout that is late takes its last step on enough answers to detect a version that is partly slow", "[rollout]")
