The test of the rate limit checks the return time of every refusal again

Change: the load model counts refusals without a time to return, and the test wants none of any class at limits of 20 and 6.2, as before.

--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -51,6 +51,7 @@
     int inTarget = 0;
     int late = 0; // gave up at the deadline without an answer
     int refused = 0;
+    int refusedWithoutReturn = 0; // of these, by admission without a time to retry after
     int failed = 0; // answered with an error
     int retried = 0; // sent again at the retry time of the refusal
     int retriedInTime = 0;
@@ -396,6 +397,7 @@
 
     void refuse(const Refusal& refusal)
     {
+        tallies[calls[attempts[refusal.id.value].call].stream].refusedWithoutReturn += refusal.retryAfter.ms <= 0 ? 1 : 0;
         const size_t callId = attempts[refusal.id.value].call;
         closeAttempt(refusal.id.value, AnswerKind::Refused);
         if (!scheduleRetry(callId, refusal.code, false))
--- a/tests/rate_limit_test.cpp
+++ b/tests/rate_limit_test.cpp
@@ -51,6 +51,8 @@
         const std::vector<Time> starts = startsOf(model);
         CHECK(mostIn4Seconds(starts) <= 4 * perSecond + 3);
         CHECK(static_cast<double>(starts.size()) >= 0.85 * 20 * perSecond);
+        for (const Tally& it : model.tallies)
+            CHECK(it.refusedWithoutReturn == 0);
         if (perSecond > 10)
             CHECK(model.tallies[0].goodput() >= 0.9);
     }
