A cold upstream gets no more than the rate that the configuration names

Cause: slow start bounds slots, and runs of 55 to 88 ms turn one slot over 11 to 18 times a second.

The configuration's services carry window and rate (document and questionnaire). The node beside the upstream, its only door, holds the rate with the token bucket that a named limit has; the smaller holds. Cold is what the upstream announces, in the same process too, and what may be: a refused connection counts as a restart until an announcement that was sent after it says otherwise.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -48,6 +48,8 @@
     SourceSelected = 408,
     UpstreamLimitChanged = 409,
     UpstreamNoticeUnreadable = 410,
+    UpstreamCold = 411,
+    UpstreamWarm = 412,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/base/ids.h
+++ b/src/appletally/base/ids.h
@@ -56,6 +56,13 @@
     auto operator<=>(const PerMille&) const = default;
 };
 
+// Requests a second, in thousandths.
+struct RequestRate {
+    int64_t thousandths = 0;
+    auto operator<=>(const RequestRate&) const = default;
+    double perSecond() const { return static_cast<double>(thousandths) / 1000; }
+};
+
 // IPv4 address and port.
 struct Address {
     std::string ip;
--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -20,6 +20,7 @@
     { "appletally_upstream_calls", MetricKind::Gauge, "calls that run or wait at the owner, by stage" },
     { "appletally_upstream_slots", MetricKind::Gauge, "calls that the upstream gets at once" },
     { "appletally_upstream_limit", MetricKind::Gauge, "requests a second that the upstream named as its limit; 0: none" },
+    { "appletally_upstream_cold", MetricKind::Gauge, "1 while the upstream is cold, or may be, and gets no more than the rate that the configuration names for that" },
     { "appletally_upstream_leaving", MetricKind::Gauge, "1 if the upstream said in an answer that it leaves" },
     { "appletally_upstream_notices_unreadable_total", MetricKind::Counter, "values of the header fields of limit and leaving that could not be read and were ignored, by field" },
     { "appletally_upstream_connections_total", MetricKind::Counter, "connections to the upstream used, by kind, and unsolicited data on them" },
--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -141,6 +141,10 @@
 void write(JsonWriter& out, const Service& it)
 {
     out.StartObject();
+    if (it.coldRate.thousandths > 0)
+        writeMember(out, "cold_rate", it.coldRate.thousandths);
+    if (it.coldWindow.ms > 0)
+        writeMember(out, "cold_window", it.coldWindow.ms);
     writeMember(out, "connections", int64_t { it.maxConnections });
     writeNames(out, "depends_on", it.dependsOn);
     writeMember(out, "name", it.name.text);
@@ -175,6 +179,8 @@
     }
     out.retryBudget = readPerMille(it, "retry_budget");
     out.fallbackVersion.text = it.text("stand_in", "");
+    out.coldRate.thousandths = it.integer("cold_rate", 0, INT64_MAX, 0);
+    out.coldWindow.ms = it.integer("cold_window", 0, INT64_MAX, 0);
     it.finish();
     return out;
 }
--- a/src/appletally/config/generate.cpp
+++ b/src/appletally/config/generate.cpp
@@ -45,6 +45,8 @@
         out.slots = it.slots;
         out.maxConnections = it.maxConnections;
         out.retryBudget = it.retryBudget;
+        out.coldWindow = it.coldWindow;
+        out.coldRate = it.coldRate;
         if (!it.firstVersion.empty())
             out.versions = { { it.firstVersion, { 1000 } } };
         return out;
--- a/src/appletally/config/model.h
+++ b/src/appletally/config/model.h
@@ -63,6 +63,8 @@
     std::vector<VersionShare> versions; // empty: any announced version takes traffic
     base::UpstreamVersion fallbackVersion; // had all traffic before; takes requests while no version with a share has an upstream. Empty: none
     base::PerMille retryBudget { 100 }; // retries per thousand first attempts
+    base::Duration coldWindow {}; // an upstream is cold for this long after its start
+    base::RequestRate coldRate; // that a cold upstream takes from all hosts together; 0: no limit
     bool operator==(const Service&) const = default;
 };
 
--- a/src/appletally/config/questionnaire.cpp
+++ b/src/appletally/config/questionnaire.cpp
@@ -19,6 +19,8 @@
     constexpr int64_t maxSlots = 10'000;
     constexpr int64_t maxBodyBytes = 1024LL * 1024 * 1024;
     constexpr size_t maxPathBytes = 512;
+    constexpr int64_t maxColdRequests = 1'000'000'000; // in 1000 s
+    constexpr Duration maxColdWindow { 600'000 };
     constexpr size_t maxServices = 1000; // three times the services that one mesh is designed for
     constexpr size_t maxRoutesPerService = 200;
 
@@ -103,6 +105,8 @@
         out.slots = static_cast<int>(it.integer("slots", 1, maxSlots, out.slots));
         out.maxConnections = static_cast<int>(it.integer("most_connections", 1, maxSlots, out.maxConnections));
         out.retryBudget.value = static_cast<int32_t>(it.integer("retry_budget_per_mille", 0, 1000, out.retryBudget.value));
+        out.coldWindow = it.duration("cold_window_ms", {}, maxColdWindow, out.coldWindow);
+        out.coldRate.thousandths = it.integer("cold_requests_per_1000_s", 0, maxColdRequests, 0);
         if (it.has("new_versions"))
             out.newVersions = readNewVersions(it.object("new_versions"));
         for (JsonReader& route : it.objects("routes"))
--- a/src/appletally/config/questionnaire.h
+++ b/src/appletally/config/questionnaire.h
@@ -38,6 +38,8 @@
     int slots = 10;
     int maxConnections = 100;
     base::PerMille retryBudget { 100 };
+    base::Duration coldWindow {};
+    base::RequestRate coldRate;
     NewVersionAnswers newVersions;
     std::vector<RouteAnswers> routes;
 };
--- a/src/appletally/node/announce_port.cpp
+++ b/src/appletally/node/announce_port.cpp
@@ -13,6 +13,7 @@
 using base::Code;
 
 constexpr ev_ssize_t maxAnnouncementBytes = 4096;
+constexpr base::Duration maxColdRemaining { 600'000 };
 
 base::Result<Announcement> readAnnouncement(const std::string& body)
 {
@@ -28,6 +29,8 @@
     out.slots = static_cast<int>(reader.integer("slots", 1, 10000));
     const size_t state = reader.choice("state", { "starting", "ready", "draining" });
     out.state = static_cast<config::EndpointState>(state);
+    if (reader.has("cold_remaining_ms"))
+        out.coldRemaining = reader.duration("cold_remaining_ms", {}, maxColdRemaining, {});
     reader.finish();
     if (problem.first)
         return *problem.first;
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -92,6 +92,7 @@
 void Owner::onTick()
 {
     const Time now = base::steadyNow();
+    updateRate();
     applyFollowup(policy::tick(m_admission, now));
     if (m_upstream && now - m_announcedAt > m_settings.announcementTimeout)
         removeUpstream("its announcement expired");
@@ -149,8 +150,15 @@
         }
         m_client = std::make_unique<http::UpstreamClient>(m_loop, announcement.address);
         policy::upstreamStarted(m_admission, m_announcedAt + std::min(announcement.slowStartRemaining, policy::slowStart) - policy::slowStart);
+        m_rate.reset();
     }
     m_upstream = announcement;
+    const config::Service* service = upstreamService();
+    if (announcement.coldRemaining)
+        policy::announceCold(m_coldStart, *announcement.coldRemaining, restarted, m_announcedAt);
+    else if (restarted)
+        policy::announceCold(m_coldStart, service ? service->coldWindow : Duration {}, true, m_announcedAt);
+    updateRate();
     if (restarted) {
         m_leaving = isLeaving(announcement);
         setLimit({});
@@ -223,11 +231,45 @@
         return;
     const bool logged = m_limit && perSecond && std::abs(*perSecond - *m_limit) <= minLoggedChange * *m_limit;
     m_limit = perSecond;
-    applyFollowup(policy::setRate(m_admission, perSecond, base::steadyNow()));
+    updateRate();
     if (!logged && m_upstream)
         base::logEvent(base::Event::UpstreamLimitChanged, m_upstream->service.text + " at " + m_upstream->address.text() + ": " + (perSecond ? std::to_string(*perSecond) + " requests a second" : "no limit"));
 }
 
+const config::Service* Owner::upstreamService() const
+{
+    if (!m_upstream || !m_snapshot)
+        return nullptr;
+    const auto it = m_snapshot->services.find(m_upstream->service);
+    return it == m_snapshot->services.end() ? nullptr : &it->second;
+}
+
+void Owner::onRestartSuspected()
+{
+    const config::Service* service = upstreamService();
+    if (!service || service->coldRate.thousandths == 0)
+        return;
+    policy::suspectCold(m_coldStart, service->coldWindow, base::steadyNow());
+    updateRate();
+}
+
+void Owner::updateRate()
+{
+    const Time now = base::steadyNow();
+    const config::Service* service = upstreamService();
+    const bool cold = service && service->coldRate.thousandths > 0 && policy::isCold(m_coldStart, now);
+    const auto rate = policy::rateLimitFor(m_limit, cold ? std::optional(service->coldRate.perSecond()) : std::nullopt);
+    if (rate != m_rate) {
+        m_rate = rate;
+        applyFollowup(policy::setRate(m_admission, rate, now));
+    }
+    if (cold == m_cold)
+        return;
+    m_cold = cold;
+    base::logEvent(cold ? base::Event::UpstreamCold : base::Event::UpstreamWarm, m_upstream ? m_upstream->service.text + " at " + m_upstream->address.text() : "no upstream");
+    m_events.load(currentLoad());
+}
+
 void Owner::logUnreadable(const UpstreamNotices& notices)
 {
     m_counts.unreadableLimits += notices.limitUnreadable ? 1 : 0;
@@ -289,6 +331,7 @@
     out.add("appletally_upstream_calls", "stage=\"waiting\"", load.waiting);
     out.add("appletally_upstream_slots", "", load.slots);
     out.add("appletally_upstream_limit", "", m_limit.value_or(0));
+    out.add("appletally_upstream_cold", "", m_cold ? 1 : 0);
     out.add("appletally_upstream_leaving", "", m_leaving ? 1 : 0);
     count("appletally_upstream_notices_unreadable_total", "field=\"limit\"", m_counts.unreadableLimits);
     count("appletally_upstream_notices_unreadable_total", "field=\"leaving\"", m_counts.unreadableLeavings);
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -15,6 +15,7 @@
 #include "appletally/node/dialect.h"
 #include "appletally/node/upstream_notices.h"
 #include "appletally/policy/admission.h"
+#include "appletally/policy/cold_start.h"
 #include "appletally/policy/local_version_monitor.h"
 
 #include <event2/event.h>
@@ -36,6 +37,7 @@
     std::string id; // id of the upstream process; empty: none
     uint64_t startedAtMs = 0; // start of that process; distinguishes restarts under one id; 0: not known
     base::Duration slowStartRemaining = policy::slowStart; // remaining slow start after a cold start
+    std::optional<base::Duration> coldRemaining; // time until its caches are warm; empty: it does not say
 };
 
 // The owner's part of the node settings.
@@ -140,6 +142,9 @@
     std::map<std::pair<base::RouteName, base::UpstreamVersion>, uint64_t> m_reportedAnswers; // number of answers at the last report
     base::LatencyHistogram m_runTime;
     std::optional<double> m_limit; // requests a second that the upstream named
+    policy::ColdStart m_coldStart;
+    bool m_cold = false; // counts as cold, and its service names a rate for that
+    std::optional<double> m_rate; // in force in m_admission: the limit, or less while the upstream is cold
     bool m_leaving = false; // the upstream said so in an answer; a late announcement does not take it back
     std::optional<std::pair<std::string, uint64_t>> m_leavingProcess; // id and start of the last one that said so, if it has an id
     std::optional<base::Time> m_unreadableLoggedAt;
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -299,9 +299,12 @@
         how = RunEnd::Failed;
     record(it, how);
     endClaim(it, error);
+    const bool unreachable = error && error->code == Code::NoUpstream;
     const auto changes = policy::finished(m_admission, { it.id }, how, Duration { it.ranMicros / 1000 }, base::steadyNow());
     finish(it, std::move(error));
     applyFollowup(changes);
+    if (unreachable)
+        onRestartSuspected();
 }
 
 // Only a run that has provably not started releases its key; in any other case a resend must not run again.
--- a/tests/large_document_test.cpp
+++ b/tests/large_document_test.cpp
@@ -76,6 +76,8 @@
     service.name = { "plug-control" };
     service.dependsOn = { { "berth-data" } };
     service.versions = { { { "1.0" }, { 900 } }, { { "2.0" }, { 100 } } };
+    service.coldRate = { 7200 };
+    service.coldWindow = { 3000 };
     base::JsonBuffer serviceBuf;
     base::JsonWriter serviceOut(serviceBuf);
     write(serviceOut, service);
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "appletally/policy/admission.h"
+#include "appletally/policy/cold_start.h"
 #include "appletally/policy/hedge.h"
 #include "appletally/policy/retry.h"
 #include "appletally/policy/routing.h"
@@ -167,6 +168,13 @@
         }
     }
 
+    // What the node beside the upstream does when the rate of requests that it takes changes.
+    void limitRate(size_t n, std::optional<double> perSecond)
+    {
+        apply(setRate(upstreams[n].admission, perSecond, now));
+        scheduleTick(n);
+    }
+
 private:
     struct Event {
         Time when;
