Availability zones are evacuated by an operator's order

At the end the zone's upstreams count as cold until they say otherwise. Each order has a defined answer (OPERATIONS); the same again changes nothing.

Tests: the model of the state machine and of distribution has the new commands; nodes beside, in and outside an evacuated zone.

--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -40,6 +40,7 @@
     { "appletally_service_upstreams", MetricKind::Gauge, "ready upstreams that this process knows, by service and version" },
     { "appletally_service_share", MetricKind::Gauge, "thousandths of a service's traffic, by version" },
     { "appletally_services_unserved", MetricKind::Gauge, "services without a ready upstream in any version that has traffic" },
+    { "appletally_evacuated_zones", MetricKind::Gauge, "availability zones that are evacuated" },
     { "appletally_rollouts", MetricKind::Gauge, "rollouts, by state" },
     { "appletally_loop_stall_ms", MetricKind::Histogram, "duration of event loop stalls, by cause" },
 });
--- a/src/appletally/base/result.h
+++ b/src/appletally/base/result.h
@@ -68,6 +68,7 @@
     VersionRolledBack = 416,
     KeyReusedDifferently = 417,
     NoFreeSlot = 418,
+    ZoneEvacuated = 419,
 
     // 5xx: a request whose outcome is unknown, or that ran and failed
     OutcomeUnknown = 501,
--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -86,7 +86,8 @@
         RolloutSeed,
         KeepersSeed,
         TimingSeed,
-        LimitsSeed };
+        LimitsSeed,
+        ZonesSeed };
 
     uint64_t hashOf(std::string_view bytes, HashSeed seed) { return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed); }
 
@@ -100,6 +101,12 @@
 
     uint64_t partHash(const Service& it, HashSeed seed) { return hashOf(encodeStreaming(it), seed); }
 
+    // None counts as nothing, so that snapshots from before there were evacuations keep their sums.
+    uint64_t partHash(const std::set<base::ZoneName>& zones, HashSeed seed)
+    {
+        return zones.empty() ? 0 : hashOf(encode(zonesToJson(zones)), seed);
+    }
+
     template <typename Key, typename Value>
     uint64_t sumOf(const std::map<Key, Value>& map, HashSeed seed)
     {
@@ -320,12 +327,22 @@
     return out;
 }
 
+Json zonesToJson(const std::set<base::ZoneName>& zones) { return namesToJson(std::vector(zones.begin(), zones.end())); }
+
+std::set<base::ZoneName> readZones(JsonReader& it, const std::string& key)
+{
+    const auto names = readNames<base::ZoneName>(it, key);
+    return { names.begin(), names.end() };
+}
+
 Json toJson(const Snapshot& it)
 {
     Json out = { { "version", it.version.value }, { "services", valuesToJson(it.services) }, { "routes", valuesToJson(it.routes) },
         { "rollouts", valuesToJson(it.rollouts) }, { "keepers", toJson(it.keepers) }, { "pace", toJson(it.timing) } };
     if (!(it.callerLimits == CallerLimits {}))
         out["caller_limits"] = toJson(it.callerLimits);
+    if (!it.evacuatedZones.empty())
+        out["evacuated_zones"] = zonesToJson(it.evacuatedZones);
     return out;
 }
 
@@ -338,6 +355,8 @@
     out.StartObject();
     if (!(it.callerLimits == CallerLimits {}))
         writeRawMember(out, "caller_limits", encode(toJson(it.callerLimits)));
+    if (!it.evacuatedZones.empty())
+        writeRawMember(out, "evacuated_zones", encode(zonesToJson(it.evacuatedZones)));
     writeRawMember(out, "keepers", encode(toJson(it.keepers)));
     writeRawMember(out, "pace", encode(toJson(it.timing)));
     writeValues(out, "rollouts", it.rollouts);
@@ -381,6 +400,7 @@
     out.timing = readControlTiming(top.object("pace"));
     if (top.has("caller_limits"))
         out.callerLimits = readCallerLimits(top.object("caller_limits"));
+    out.evacuatedZones = readZones(top, "evacuated_zones");
     top.finish();
     if (problem.first)
         return base::fail(Code::MessageMalformed, problem.first->text);
@@ -394,7 +414,8 @@
     if (it.sum.known)
         return it.sum.value;
     return sumOf(it.services, ServiceSeed) + sumOf(it.routes, RouteSeed) + sumOf(it.rollouts, RolloutSeed)
-        + partHash(it.keepers, KeepersSeed) + partHash(it.timing, TimingSeed) + partHash(it.callerLimits, LimitsSeed);
+        + partHash(it.keepers, KeepersSeed) + partHash(it.timing, TimingSeed) + partHash(it.callerLimits, LimitsSeed)
+        + partHash(it.evacuatedZones, ZonesSeed);
 }
 
 ContentSum sumAfter(const Snapshot& from, const Snapshot& to)
@@ -406,6 +427,7 @@
     out += sumDifferenceOfPart(from.keepers, to.keepers, KeepersSeed);
     out += sumDifferenceOfPart(from.timing, to.timing, TimingSeed);
     out += sumDifferenceOfPart(from.callerLimits, to.callerLimits, LimitsSeed);
+    out += sumDifferenceOfPart(from.evacuatedZones, to.evacuatedZones, ZonesSeed);
     return { out, true };
 }
 
--- a/src/appletally/config/codec.h
+++ b/src/appletally/config/codec.h
@@ -28,6 +28,7 @@
 base::Json toJson(const KeeperSet&);
 base::Json toJson(const ControlTiming&);
 base::Json toJson(const CallerLimits&);
+base::Json zonesToJson(const std::set<base::ZoneName>&);
 base::Json toJson(const Snapshot&);
 base::Json toJson(const Endpoint&);
 base::Json toJson(const Evidence&);
@@ -43,6 +44,7 @@
 KeeperSet readKeeperSet(base::JsonReader);
 ControlTiming readControlTiming(base::JsonReader);
 CallerLimits readCallerLimits(base::JsonReader);
+std::set<base::ZoneName> readZones(base::JsonReader&, const std::string& key); // a missing key: none
 
 std::string encode(const base::Json&); // canonical; invalid UTF-8 is replaced
 std::string encode(const Snapshot&);
--- a/src/appletally/config/commands.cpp
+++ b/src/appletally/config/commands.cpp
@@ -17,7 +17,7 @@
     constexpr size_t minBytesToCompress = 1024;
 
     // In the order of the alternatives of Command.
-    const std::vector<std::string> kinds = { "submit", "start_rollout", "stop_rollout", "set_share", "take_back", "complete_rollout", "set_keepers", "finish_keepers", "submit_document", "move_traffic" };
+    const std::vector<std::string> kinds = { "submit", "start_rollout", "stop_rollout", "set_share", "take_back", "complete_rollout", "set_keepers", "finish_keepers", "submit_document", "move_traffic", "evacuate_zone", "set_zone_evacuated" };
 
     void putText(Json& json, const char* key, const std::string& text)
     {
@@ -76,6 +76,10 @@
         return { { "service", it.service.text }, { "from", it.from.text }, { "to", it.to.text }, { "within", it.within.ms }, { "at", it.at.ms } };
     }
 
+    Json fields(const EvacuateZone& it) { return { { "request", toJson(it.request) }, { "zone", it.zone.text }, { "evacuated", it.evacuated } }; }
+
+    Json fields(const SetZoneEvacuated& it) { return { { "zone", it.zone.text }, { "evacuated", it.evacuated }, { "at", it.at.ms } }; }
+
     uint64_t readNumber(JsonReader& it, const std::string& key) { return static_cast<uint64_t>(it.integer(key, 0, INT64_MAX)); }
 
     base::WallTime readTime(JsonReader& it, const std::string& key) { return { it.integer(key, INT64_MIN, INT64_MAX) }; }
@@ -146,6 +150,10 @@
             return FinishKeeperChange { { readNumber(it, "number") }, readTime(it, "at") };
         case 8:
             return SubmitDocument { readDocumentId(it.object("id")), readDocumentChange(it.object("change")), readTime(it, "at") };
+        case 10:
+            return EvacuateZone { readRequest(it.object("request")), { it.text("zone") }, it.flag("evacuated", true) };
+        case 11:
+            return SetZoneEvacuated { { it.text("zone") }, it.flag("evacuated", true), readTime(it, "at") };
         default:
             return MoveTraffic { { it.text("service") }, { it.text("from") }, { it.text("to") }, { it.integer("within", 1, INT64_MAX) }, readTime(it, "at") };
         }
--- a/src/appletally/config/commands.h
+++ b/src/appletally/config/commands.h
@@ -96,7 +96,21 @@
     base::WallTime at;
 };
 
-using Command = std::variant<SubmitAnswers, StartRollout, StopRollout, SetShare, RollBackRollout, CompleteRollout, SetKeepers, FinishKeeperChange, SubmitDocument, MoveTraffic>;
+// Takes the upstreams of an availability zone out of service, or back into it. Running requests end there.
+struct EvacuateZone {
+    OperatorRequest request;
+    base::ZoneName zone;
+    bool evacuated = true; // false: ends the evacuation
+};
+
+// The same, for an operator that does not number its requests.
+struct SetZoneEvacuated {
+    base::ZoneName zone;
+    bool evacuated = true;
+    base::WallTime at;
+};
+
+using Command = std::variant<SubmitAnswers, StartRollout, StopRollout, SetShare, RollBackRollout, CompleteRollout, SetKeepers, FinishKeeperChange, SubmitDocument, MoveTraffic, EvacuateZone, SetZoneEvacuated>;
 
 std::string encode(const Command&);
 std::string encodeForLog(const Command&); // compressed if large
--- a/src/appletally/config/delta.cpp
+++ b/src/appletally/config/delta.cpp
@@ -155,6 +155,8 @@
         out.timing = to.timing;
     if (!(from.callerLimits == to.callerLimits))
         out.callerLimits = to.callerLimits;
+    if (from.evacuatedZones != to.evacuatedZones)
+        out.evacuatedZones = to.evacuatedZones;
     return out;
 }
 
@@ -172,6 +174,7 @@
     out.keepers = delta.keepers.value_or(out.keepers);
     out.timing = delta.timing.value_or(out.timing);
     out.callerLimits = delta.callerLimits.value_or(out.callerLimits);
+    out.evacuatedZones = delta.evacuatedZones.value_or(out.evacuatedZones);
     out.sum = sumAfter(snapshot, out);
     if (out.sum.value != delta.resultHash)
         return base::fail(Code::DeltaMismatch, "the result of the delta to version " + std::to_string(delta.to.value) + " has a different hash");
@@ -185,6 +188,8 @@
     out.StartObject();
     if (it.callerLimits)
         writeRawMember(out, "caller_limits", encode(toJson(*it.callerLimits)));
+    if (it.evacuatedZones)
+        writeRawMember(out, "evacuated_zones", encode(zonesToJson(*it.evacuatedZones)));
     writeMember(out, "from", it.from.value);
     writeNamesUnlessEmpty(out, "gone_rollouts", it.removedRollouts);
     writeNamesUnlessEmpty(out, "gone_routes", it.removedRoutes);
@@ -228,6 +233,8 @@
         out.timing = readControlTiming(top.object("pace"));
     if (top.has("caller_limits"))
         out.callerLimits = readCallerLimits(top.object("caller_limits"));
+    if (top.has("evacuated_zones"))
+        out.evacuatedZones = readZones(top, "evacuated_zones");
     top.finish();
     if (problem.first)
         return base::fail(Code::MessageMalformed, problem.first->text);
@@ -243,6 +250,14 @@
     describeOne("keepers", from.keepers, to.keepers, lines);
     describeOne("pace", from.timing, to.timing, lines);
     describeOne("caller limits", from.callerLimits, to.callerLimits, lines);
+    for (const base::ZoneName& it : to.evacuatedZones) {
+        if (!from.evacuatedZones.contains(it))
+            lines.add([&] { return "zone " + it.text + ": evacuated"; });
+    }
+    for (const base::ZoneName& it : from.evacuatedZones) {
+        if (!to.evacuatedZones.contains(it))
+            lines.add([&] { return "zone " + it.text + ": back in service"; });
+    }
     if (lines.count > lines.kept.size())
         lines.kept.push_back("and " + std::to_string(lines.count - lines.kept.size()) + " more");
     return std::move(lines.kept);
--- a/src/appletally/config/delta.h
+++ b/src/appletally/config/delta.h
@@ -28,6 +28,7 @@
     std::optional<KeeperSet> keepers; // empty: unchanged
     std::optional<ControlTiming> timing;
     std::optional<CallerLimits> callerLimits;
+    std::optional<std::set<base::ZoneName>> evacuatedZones;
 };
 
 Delta difference(const Snapshot& from, const Snapshot& to);
--- a/src/appletally/config/model.h
+++ b/src/appletally/config/model.h
@@ -8,6 +8,7 @@
 #include "appletally/base/ids.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -133,6 +134,8 @@
     bool operator==(const ContentSum&) const { return true; }
 };
 
+constexpr size_t maxEvacuatedZones = 64; // more zones than any mesh has
+
 struct Snapshot {
     base::ConfigVersion version; // 0: nothing accepted yet
     std::map<base::ServiceName, Service> services;
@@ -141,6 +144,7 @@
     KeeperSet keepers;
     ControlTiming timing;
     CallerLimits callerLimits;
+    std::set<base::ZoneName> evacuatedZones; // availability zones whose upstreams get no requests
     ContentSum sum; // invariant: if known, covers all members above except the version
     bool operator==(const Snapshot&) const = default;
 };
--- a/src/appletally/config/state_change.h
+++ b/src/appletally/config/state_change.h
@@ -49,6 +49,8 @@
 // One handler for each command; apply() selects it.
 Outcome run(State&, base::LogIndex, const SubmitAnswers&); // apply_answers.cpp
 Outcome run(State&, base::LogIndex, const SubmitDocument&); // apply_document.cpp
+Outcome run(State&, base::LogIndex, const EvacuateZone&); // apply_evacuation.cpp
+Outcome run(State&, base::LogIndex, const SetZoneEvacuated&);
 Outcome run(State&, base::LogIndex, const SetKeepers&); // apply_keepers.cpp
 Outcome run(State&, base::LogIndex, const FinishKeeperChange&);
 Outcome run(State&, base::LogIndex, const StartRollout&); // apply_rollout.cpp
--- a/src/appletally/control/changes.cpp
+++ b/src/appletally/control/changes.cpp
@@ -53,6 +53,8 @@
         return fromOutcome(kept->outcome);
     if (!m_leading && forwarded)
         return failedChange(base::fail(base::Code::NotLeader, "this process is not the leader", electionRetryDelay));
+    if (const auto* evacuation = std::get_if<config::EvacuateZone>(&command.value()); evacuation && !isKnownZone(evacuation->zone))
+        return failedChange(base::fail(base::Code::AnswersInvalid, "no availability zone " + evacuation->zone.text));
     ++m_pendingChanges;
     return (m_leading ? proposeChange(std::move(command.value())) : forwardToLeader(bytes)).attach(kj::defer([this] { --m_pendingChanges; }));
 }
@@ -189,7 +191,8 @@
     for (const auto& [host, it] : m_convergence.nodes)
         nodes[host.text] = it.version.value;
     nlohmann::json out = { { "host", m_settings.membership.host.text }, { "version", m_state.snapshot.version.value }, { "leads", m_leading },
-        { "convergence", toJson(m_convergence) }, { "nodes", std::move(nodes) }, { "endpoints", std::move(endpoints) }, { "rollouts", rolloutsJson(m_state) } };
+        { "convergence", toJson(m_convergence) }, { "nodes", std::move(nodes) }, { "endpoints", std::move(endpoints) }, { "rollouts", rolloutsJson(m_state) },
+        { "evacuated_zones", config::zonesToJson(m_state.snapshot.evacuatedZones) } };
     if (m_replica)
         out["replica"] = m_replica->toJson();
     nlohmann::json peers = nlohmann::json::array();
--- a/src/appletally/control/documents.cpp
+++ b/src/appletally/control/documents.cpp
@@ -1,4 +1,4 @@
-// Whole documents and unnumbered traffic changes, for an operators' port with another protocol.
+// Whole documents, traffic changes and evacuations without numbers, for an operators' port with another protocol.
 //
 // Documents are processed one at a time: each is compared with its predecessor, so that only the difference goes into the
 // log. A follower answers NotLeader and the port redirects the operator to the leader; forwarding through a process that
@@ -153,6 +153,32 @@
     return most == counts.end() ? base::UpstreamVersion {} : most->first;
 }
 
+kj::Promise<base::Result<void>> ControlProcess::setZoneEvacuated(config::SetZoneEvacuated command)
+{
+    using Answer = base::Result<void>;
+    if (!m_replica || !m_leading)
+        return Answer(notLeader());
+    if (!isKnownZone(command.zone))
+        return Answer(base::fail(base::Code::AnswersInvalid, "no availability zone " + command.zone.text));
+    command.at = leaderTime();
+    ++m_pendingChanges;
+    return proposeForVersion(command)
+        .then([this](const base::Result<base::ConfigVersion>& version) -> kj::Promise<Answer> {
+            if (!version)
+                return Answer(version.error());
+            return waitUntilApplied(version.value()).then([]() -> Answer { return base::success(); });
+        })
+        .attach(kj::defer([this] { --m_pendingChanges; }));
+}
+
+// The end of an evacuation is accepted for every zone that is evacuated, whatever the settings name now.
+bool ControlProcess::isKnownZone(const base::ZoneName& zone) const
+{
+    if (m_settings.zones.empty() || m_state.snapshot.evacuatedZones.contains(zone))
+        return true;
+    return std::find(m_settings.zones.begin(), m_settings.zones.end(), zone) != m_settings.zones.end();
+}
+
 kj::Promise<base::Result<void>> ControlProcess::moveTraffic(config::MoveTraffic command)
 {
     using Answer = base::Result<void>;
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -72,6 +72,7 @@
     add("appletally_subscribers", "", m_distributor.subscribers());
     add("appletally_source_isolated", "", m_distributor.isolated() ? 1 : 0);
     writeServiceMetrics(out, m_state.snapshot, config::readyUpstreams(m_endpoints));
+    add("appletally_evacuated_zones", "", m_state.snapshot.evacuatedZones.size());
     add("appletally_rollouts", "state=\"running\"", m_state.snapshot.rollouts.size());
     add("appletally_rollouts", "state=\"ended\"", m_state.ended.size());
     if (m_replica)
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -59,6 +59,8 @@
     // Errors: VersionConflict, AnswersInvalid, DanglingReference; with any other error the outcome is unknown.
     kj::Promise<base::Result<void>> submitDocument(config::Document);
     kj::Promise<base::Result<void>> moveTraffic(config::MoveTraffic); // `from` is filled in
+    // Resolves like submitDocument(). Error: AnswersInvalid for a zone that the mesh does not have.
+    kj::Promise<base::Result<void>> setZoneEvacuated(config::SetZoneEvacuated);
     // Linearizable read of the replicated state. The pointer is valid until control returns to the event loop.
     kj::Promise<base::Result<const config::State*>> committedState();
 
@@ -112,6 +114,7 @@
     kj::Promise<base::Result<base::ConfigVersion>> recheckConflict(const std::shared_ptr<const config::Document>&);
     kj::Promise<void> waitUntilApplied(base::ConfigVersion);
     void wakeAppliedWaiters();
+    bool isKnownZone(const base::ZoneName&) const;
     void onAppliedTimeout(base::ConfigVersion);
     base::UpstreamVersion mostDeployedVersion(const base::ServiceName&, const base::UpstreamVersion& besides) const;
     std::string describeReadyUpstreams(const config::Rollout&) const;
--- a/src/appletally/control/settings.cpp
+++ b/src/appletally/control/settings.cpp
@@ -45,6 +45,8 @@
     out.membership.host.text = top.text("host", 64);
     out.zone.text = top.text("zone", 64);
     out.region.text = top.text("region", 64);
+    for (const std::string& it : top.texts("zones"))
+        out.zones.push_back({ it });
     out.role = top.choice("role", { "voter", "relay" }, 0) == 0 ? ProcessRole::Voter : ProcessRole::Relay;
     out.listen = top.address("listen");
     if (out.role == ProcessRole::Voter)
--- a/src/appletally/control/settings.h
+++ b/src/appletally/control/settings.h
@@ -22,6 +22,7 @@
     inner::Membership membership;
     base::ZoneName zone;
     base::RegionName region;
+    std::vector<base::ZoneName> zones; // availability zones of the mesh; empty: not known, and any may be evacuated
     ProcessRole role = ProcessRole::Voter;
     base::Address listen; // for nodes, other control processes and operators
     std::string data; // voters only: folder of the replicated log, formatted once
--- a/src/appletally/ctl/commands.cpp
+++ b/src/appletally/ctl/commands.cpp
@@ -109,6 +109,14 @@
         return usageError("rollout start SERVICE VERSION SECONDS, or rollout stop ROLLOUT");
     }
 
+    base::Result<void> evacuate(const CtlSettings& settings, const CommandLine& line)
+    {
+        const auto& arguments = line.arguments;
+        if (arguments.size() != 3 || (arguments[1] != "start" && arguments[1] != "end"))
+            return usageError("evacuate start ZONE, or evacuate end ZONE");
+        return sendChange(settings, line, config::EvacuateZone { {}, { arguments[2] }, arguments[1] == "start" });
+    }
+
     base::Result<void> show(const CtlSettings& settings, const CommandLine& line)
     {
         Client client(settings);
@@ -168,6 +176,8 @@
            "  submit FILE                            submit changed answers\n"
            "  rollout start SERVICE VERSION SECONDS  shift all traffic to VERSION within SECONDS\n"
            "  rollout stop ROLLOUT                   stop it and return all traffic to the old version\n"
+           "  evacuate start ZONE                    send nothing more to the upstreams of an availability zone\n"
+           "  evacuate end ZONE                      take it back into service\n"
            "  rollouts | versions | status           show rollouts, versions or the state of the mesh\n"
            "  dump ADDRESS                           print the state of a process as JSON\n"
            "  explain ID LOG...                      show one request's events from log files; needs no settings: appletallyctl explain ...\n"
@@ -181,6 +191,8 @@
         return submit(settings, line);
     if (command == "rollout")
         return rollout(settings, line);
+    if (command == "evacuate")
+        return evacuate(settings, line);
     if (command == "status" || command == "versions" || command == "rollouts")
         return show(settings, line);
     if (command == "dump")
--- a/src/appletally/ctl/print.cpp
+++ b/src/appletally/ctl/print.cpp
@@ -60,6 +60,8 @@
 void printStatus(std::ostream& out, const nlohmann::json& status)
 {
     out << "answered by " << field(status, "host") << ": version " << field(status, "version") << '\n';
+    for (const nlohmann::json& it : list(status, "evacuated_zones"))
+        out << "availability zone " << it.get<std::string>() << " is evacuated\n";
     if (status.contains("replica"))
         printReplicas(out, status["replica"]);
     out << "\ncontrol process  link  replica\n";
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -47,6 +47,7 @@
     for (const auto& [name, service] : m_snapshot->services) {
         policy::Router& router = m_routers[name];
         router.zone = m_settings.zone;
+        router.evacuatedZones = m_snapshot->evacuatedZones;
         setShares(service);
         m_retries[name].perFirstAttempt = service.retryBudget;
     }
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -38,7 +38,7 @@
     , m_incarnation(freshIncarnation())
     , m_peers(loop, m_settings.membership, { [this](const base::HostId& host, const policy::Load& load) { m_ingress.onLoadReported(host, load); }, [this](const base::HostId& host) { m_ingress.onSuspected(host); } })
     , m_claims(loop, m_settings.membership.host, m_incarnation, m_peers)
-    , m_owner(loop, { m_settings.membership.host, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout }, m_claims,
+    , m_owner(loop, { m_settings.membership.host, m_settings.zone, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout }, m_claims,
           { [this] { announceEndpoint(); }, [this](const policy::Load& load) {
                m_ownerLinks.broadcastLoad(load);
                m_ingress.onLoadReported(m_settings.membership.host, load); } })
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -64,6 +64,14 @@
 
 policy::Load Owner::currentLoad() const { return policy::load(m_admission, base::steadyNow()); }
 
+bool Owner::isEvacuated() const { return m_snapshot && m_snapshot->evacuatedZones.contains(m_settings.zone); }
+
+static base::Error zoneEvacuated(const base::ZoneName& zone)
+{
+    constexpr Duration otherNodesApply { 100 }; // the caller's node learns of the evacuation within this time
+    return base::fail(Code::ZoneEvacuated, "availability zone " + zone.text + " is evacuated", otherNodesApply);
+}
+
 // Returns why the call cannot be offered to admission, if so; all of these errors are proven "not run".
 std::optional<base::Error> Owner::findRefusal(const Call& call) const
 {
@@ -71,6 +79,10 @@
         return base::fail(Code::Draining, "the upstream is draining");
     if (state() != EndpointState::Ready || m_upstream->service != call.service)
         return base::fail(Code::NoUpstream, "no ready upstream of " + call.service.text + " here");
+    if (isEvacuated())
+        return zoneEvacuated(m_settings.zone);
+    if (!m_snapshot && policy::isCold(m_coldStart, base::steadyNow()))
+        return base::fail(Code::NotReady, "the upstream is cold, and the rate that it takes is not known yet");
     if (const auto it = m_localDecisions.find(m_upstream->version); it != m_localDecisions.end() && !policy::mayRun(it->second))
         return base::fail(Code::VersionRolledBack, it->second.reason);
     return {};
@@ -193,9 +205,15 @@
 
 void Owner::apply(std::shared_ptr<const config::Snapshot> snapshot)
 {
+    const bool wasEvacuated = isEvacuated();
     m_snapshot = std::move(snapshot);
     for (auto& [version, it] : m_localDecisions)
         policy::onSnapshot(it, *m_snapshot);
+    if (isEvacuated() && !wasEvacuated)
+        refuseQueued(zoneEvacuated(m_settings.zone));
+    if (!isEvacuated() && wasEvacuated)
+        onRestartSuspected(); // without requests its caches went cold
+    updateRate();
 }
 
 void Owner::onNotices(const UpstreamNotices& notices, bool mayLift)
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -43,6 +43,7 @@
 // The owner's part of the node settings.
 struct OwnerSettings {
     base::HostId host;
+    base::ZoneName zone;
     base::Incarnation incarnation;
     Dialect dialect;
     CallFeatures features;
@@ -105,6 +106,10 @@
     void onHead(ActiveCall&, const http::AnswerHead&);
     void onNotices(const UpstreamNotices&, bool mayLift);
     void setLimit(std::optional<double> perSecond);
+    bool isEvacuated() const; // the host's availability zone
+    const config::Service* upstreamService() const; // null: no upstream, or not in the configuration
+    void onRestartSuspected(); // a sign that the upstream is another process than before
+    void updateRate(); // after any change of what bounds it, and as time passes
     void onLeaving(); // the upstream said in an answer that it takes no new requests
     bool isLeaving(const Announcement&) const;
     void logUnreadable(const UpstreamNotices&);
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -79,8 +79,8 @@
 {
     if (!m_upstream)
         return releaseAndRefuse(it, base::fail(Code::NoUpstream, "the upstream is gone"));
-    // The version may have been stopped while the call was queued; it has not started, so "not run" is still proven.
-    if (auto error = findRefusal(it.call); error && error->code == Code::VersionRolledBack)
+    // The version may have been stopped, or the zone evacuated, while the call was queued; "not run" is still proven.
+    if (auto error = findRefusal(it.call); error && (error->code == Code::VersionRolledBack || error->code == Code::ZoneEvacuated))
         return releaseAndRefuse(it, *error);
     if (m_settings.features.claims && !it.call.idempotent && !it.call.key.empty())
         return claim(it);
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -32,6 +32,7 @@
         case base::Code::Draining:
         case base::Code::NotReady:
         case base::Code::VersionRolledBack:
+        case base::Code::ZoneEvacuated:
         case base::Code::NoUpstream: // at that node, or the link there was never up
             return Kind::Moved;
         case base::Code::Overloaded:
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -95,7 +95,7 @@
 
     bool usable(const Router& it, const Target& target, const PickRequest& request, base::Time now)
     {
-        if (!takesWork(target) || now < target.absentUntil || isExcluded(request, target.endpoint.host))
+        if (!takesWork(target) || it.evacuatedZones.contains(target.endpoint.zone) || now < target.absentUntil || isExcluded(request, target.endpoint.host))
             return false;
         const HostStatus stands = statusOf(it.outliers, subjectOf(target, request.route), now);
         return stands == HostStatus::Active || (stands == HostStatus::ProbeDue && request.mayProbe);
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -22,6 +22,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -77,6 +78,7 @@
     RoutingOptions options;
     RoutingCosts costs;
     base::ZoneName zone; // the node's own
+    std::set<base::ZoneName> evacuatedZones; // their targets get no requests
     std::map<base::HostId, Target> targets;
     std::map<base::UpstreamVersion, base::PerMille> shares; // empty: any version takes traffic
     base::UpstreamVersion fallbackVersion; // for versions with a share that have no upstream; empty: none
--- a/tests/config_fuzz_test.cpp
+++ b/tests/config_fuzz_test.cpp
@@ -61,19 +61,23 @@
         Complete,
         Resend,
         Restore,
-        OldEntry };
-    static constexpr int kinds = 9;
+        OldEntry,
+        Evacuate, // by an operator that numbers its requests
+        SetEvacuated }; // by one that does not
+    static constexpr int kinds = 11;
     static const char* kindName(int kind)
     {
-        static const char* const names[] = { "submit", "start", "stop", "share", "takeBack", "complete", "resend", "restore", "oldEntry" };
+        static const char* const names[] = { "submit", "start", "stop", "share", "takeBack", "complete", "resend", "restore", "oldEntry", "evacuate", "setEvacuated" };
         return names[kind];
     }
+    static bool isNumbered(int kind) { return kind <= Stop || kind == Evacuate; }
 
     uint64_t index = 0;
     std::vector<uint64_t> accepted { 0 }; // expected versions in the order of their acceptance
     std::vector<Request> requests;
     std::map<std::pair<int, uint64_t>, std::pair<Request, Expected>> outcomes;
     Team teams[teamCount];
+    std::set<int> evacuated; // zones
 
     uint64_t version() const { return accepted.back(); }
 
@@ -85,7 +89,12 @@
         out.kind = it.kind == Resend ? Submit : it.kind;
         out.team = it.c % teamCount;
         const Team& team = teams[out.team];
-        if (out.kind <= Stop) {
+        if (out.kind == Evacuate || out.kind == SetEvacuated) {
+            out.value = it.d % 3;
+            out.from = it.d / 3 % 2; // 1: ends the evacuation
+            out.team = 0;
+        }
+        if (isNumbered(out.kind)) {
             out.by = it.a % 3;
             out.number = static_cast<uint64_t>(it.b % 5 + 1);
             const size_t back = static_cast<size_t>(it.b / 5 % 4);
@@ -93,7 +102,7 @@
         }
         if (out.kind <= Start || out.kind == Share)
             out.value = out.kind == Share ? it.d % 1001 : it.d % 4 + 1;
-        if (team.rollout && out.kind >= Stop)
+        if (team.rollout && out.kind >= Stop && out.kind <= Complete)
             out.rollout = team.rollout->id;
         if (team.rollout && (out.kind == Share || out.kind == Complete))
             out.from = std::max(0, team.rollout->share - (it.b % 4 == 3 ? 1 : 0));
@@ -149,11 +158,24 @@
         return {};
     }
 
+    Expected expectEvacuation(const Request& it)
+    {
+        if (it.from == 0)
+            evacuated.insert(it.value);
+        else
+            evacuated.erase(it.value);
+        return {};
+    }
+
     Expected expectNew(const Request& it)
     {
-        if (it.kind <= Start && it.base > version())
+        if ((it.kind <= Start || it.kind == Evacuate) && it.base > version())
             return { Code::UnknownVersion, version() };
+        const bool isEvacuation = it.kind == Evacuate || it.kind == SetEvacuated;
+        if (isEvacuation && evacuated.contains(it.value) == (it.from == 0))
+            return { Code::Ok, version() };
         Expected out = it.kind == Submit ? expectSubmit(it) : it.kind == Start ? expectStart(it)
+            : isEvacuation                                                     ? expectEvacuation(it)
                                                                                : expectRunning(it);
         if (out.code != Code::Ok || out.version != 0)
             return out;
@@ -168,7 +190,7 @@
     Expected expect(const Request& it)
     {
         ++index;
-        if (it.kind > Stop)
+        if (!isNumbered(it.kind))
             return expectNew(it);
         const auto answer = outcomes.find({ it.by, it.number });
         if (answer != outcomes.end())
@@ -190,6 +212,8 @@
 
 const char* const operators[] = { "ada", "bob", "eva" };
 
+std::string zoneOf(int zone) { return "z" + std::to_string(zone); }
+
 std::string serviceOf(int team) { return "s" + std::to_string(team); }
 
 Command commandOf(const Request& it, int64_t at)
@@ -208,6 +232,10 @@
         return SetShare { rollout, { it.from }, { it.value }, "step", { at } };
     case OperatorsModel::RollBack:
         return RollBackRollout { rollout, { 0 }, "bad", { at } };
+    case OperatorsModel::Evacuate:
+        return EvacuateZone { request, { zoneOf(it.value) }, it.from == 0 };
+    case OperatorsModel::SetEvacuated:
+        return SetZoneEvacuated { { zoneOf(it.value) }, it.from == 0, { at } };
     default:
         return CompleteRollout { rollout, { it.from }, "good", { at } };
     }
@@ -240,6 +268,10 @@
             RC_ASSERT((service->second.versions == sharesOf(model.teams[n])));
             rollouts += model.teams[n].rollout ? 1 : 0;
         }
+        std::set<base::ZoneName> zones;
+        for (const int it : model.evacuated)
+            zones.insert({ zoneOf(it) });
+        RC_ASSERT((current(state).evacuatedZones == zones));
         RC_ASSERT(current(state).rollouts.size() == rollouts);
         RC_ASSERT(state.running.size() == rollouts);
     }
@@ -273,6 +305,8 @@
     }
 };
 
+constexpr int evacuationKey = -1; // among the contents of a version: the evacuated zones as a set of two bits
+
 // A source with three voters and one node. A version is released to nodes once two voters have recorded it.
 struct DistributionModel {
     enum Kind { Change,
@@ -336,7 +370,9 @@
     void change(const Step& it)
     {
         std::map<int, int> next = contents.back();
-        if (it.b % 4 == 0)
+        if (it.c % 4 == 0)
+            next[evacuationKey] = it.d % 4;
+        else if (it.b % 4 == 0)
             next.erase(it.a % 3);
         else
             next[it.a % 3] = it.b % 4;
@@ -390,6 +426,12 @@
     Snapshot out;
     out.version = { version };
     for (const auto& [service, slots] : model.contents[version]) {
+        if (service == evacuationKey) {
+            for (int zone = 0; zone < 2; ++zone)
+                if (slots >> zone & 1)
+                    out.evacuatedZones.insert({ zoneOf(zone) });
+            continue;
+        }
         const base::ServiceName name { serviceOf(service) };
         out.services[name].name = name;
         out.services[name].slots = slots;
--- a/tests/config_state_test.cpp
+++ b/tests/config_state_test.cpp
@@ -193,12 +193,45 @@
     CHECK(apply(state, { 7 }, SetKeepers { { 2 }, { one[1], one[0] }, {} }).code == Code::AnswersInvalid);
 }
 
+TEST_CASE("an evacuation ordered again is accepted, and its end without a start changes nothing", "[config][evacuation]")
+{
+    // Guards against an order whose acknowledgement was lost and whose resend is refused, or makes another version.
+    State state = bothDeployments();
+    const uint64_t before = current(state).version.value;
+    CHECK(apply(state, { 3 }, SetZoneEvacuated { { "a" }, false, { 1 } }).code == Code::Ok);
+    CHECK(current(state).version.value == before);
+    CHECK(apply(state, { 4 }, SetZoneEvacuated { { "a" }, true, { 2 } }).version.value == 4);
+    CHECK(apply(state, { 5 }, SetZoneEvacuated { { "a" }, true, { 3 } }).version.value == 4);
+    CHECK(apply(state, { 6 }, EvacuateZone { request("ada", 3, 4), { "b" }, true }).version.value == 6);
+    CHECK(state.versions.back().differences == std::vector<std::string> { "zone b: evacuated" });
+    state = decodeState(encode(state)).value();
+    CHECK((current(state).evacuatedZones == std::set<base::ZoneName> { { "a" }, { "b" } }));
+    CHECK(apply(state, { 7 }, SetZoneEvacuated { { "a" }, false, { 4 } }).code == Code::Ok);
+    CHECK((current(state).evacuatedZones == std::set<base::ZoneName> { { "b" } }));
+    CHECK(state.versions.back().differences == std::vector<std::string> { "zone a: back in service" });
+    CHECK(apply(state, { 8 }, SetZoneEvacuated { { "" }, true, { 5 } }).code == Code::AnswersInvalid);
+}
+
+TEST_CASE("an evacuation stays in force through rollouts and changes of the configuration", "[config][evacuation]")
+{
+    // Guards against a zone that gets requests again because something else was changed.
+    State state = bothDeployments();
+    CHECK(apply(state, { 3 }, SetZoneEvacuated { { "a" }, true, { 2 } }).code == Code::Ok);
+    CHECK(apply(state, { 4 }, start(request("ada", 3, 3), "2.0")).code == Code::Ok);
+    CHECK(apply(state, { 5 }, SubmitAnswers { request("ada", 4, 4), withSlots(exampleBytes("hlyab.json"), 7) }).code == Code::Ok);
+    CHECK(current(state).evacuatedZones.size() == 1);
+    for (uint64_t n = 1; n < maxEvacuatedZones; ++n)
+        CHECK(apply(state, { 5 + n }, SetZoneEvacuated { { "z" + std::to_string(n) }, true, { 2 } }).code == Code::Ok);
+    CHECK(apply(state, { 100 }, SetZoneEvacuated { { "one-too-many" }, true, { 2 } }).code == Code::AnswersInvalid);
+}
+
 TEST_CASE("commands survive encoding and decoding, and malformed bytes are refused without effect", "[config]")
 {
     const OperatorRequest operatorRequest = request("ada", 3, 2);
     const Command commands[] = { SubmitAnswers { operatorRequest, "{\"a\": 1}" }, StartRollout { operatorRequest, { "a" }, {}, { "2.0" }, { 5 } },
         StopRollout { operatorRequest, { "a-3" }, "why" }, SetShare { { "a-3" }, { 0 }, { 50 }, "", { 7 } }, RollBackRollout { { "a-3" }, { 50 }, "bad", { 7 } },
-        CompleteRollout { { "a-3" }, { 1000 }, "", { 7 } }, SetKeepers { { 1 }, { { { "h" }, { "127.0.0.1", 1 } } }, { 7 } }, FinishKeeperChange { { 2 }, { 7 } } };
+        CompleteRollout { { "a-3" }, { 1000 }, "", { 7 } }, SetKeepers { { 1 }, { { { "h" }, { "127.0.0.1", 1 } } }, { 7 } }, FinishKeeperChange { { 2 }, { 7 } },
+        EvacuateZone { operatorRequest, { "north-a" }, false }, SetZoneEvacuated { { "north-a" }, true, { 7 } } };
     for (const Command& it : commands) {
         const auto back = decodeCommand(encode(it));
         REQUIRE(back);
@@ -207,7 +240,8 @@
     }
     State state = bothDeployments();
     const std::string before = encode(current(state));
-    for (const char* bytes : { "", "{}", "[[[[", R"({"kind":"none"})", R"({"kind":"take_back","rollout":"a","from":1001,"at":0})", R"({"kind":"finish_keepers","number":1,"at":0,"x":1})" })
+    for (const char* bytes : { "", "{}", "[[[[", R"({"kind":"none"})", R"({"kind":"take_back","rollout":"a","from":1001,"at":0})", R"({"kind":"finish_keepers","number":1,"at":0,"x":1})",
+             R"({"kind":"set_zone_evacuated","evacuated":true,"at":0})", R"({"kind":"set_zone_evacuated","zone":"a","evacuated":2,"at":0})" })
         CHECK(apply(state, { state.applied.value + 1 }, bytes).code == Code::MessageMalformed);
     CHECK(encode(current(state)) == before);
     CHECK(apply(state, { 1 }, SetKeepers { { 0 }, { { { "h" }, { "127.0.0.1", 1 } } }, {} }).code == Code::VersionTooOld);
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -16,33 +16,51 @@
 static const char* const anyPort = "127.0.0.1:0";
 
 TestUpstream::TestUpstream(event_base* loop)
-    : http(evhttp_new(loop))
-    , loop(loop)
+    : loop(loop)
 {
-    evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+    listen(0);
+}
+
+void TestUpstream::listen(uint16_t port)
+{
+    http = evhttp_new(loop);
+    evhttp_bound_socket* bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", port);
     sockaddr_in at {};
     socklen_t n = sizeof at;
     getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&at), &n);
     address = { "127.0.0.1", ntohs(at.sin_port) };
     evhttp_set_gencb(
-        http, [](evhttp_request* request, void* arg) {
-            auto* self = static_cast<TestUpstream*>(arg);
-            ++self->runs;
-            self->lastTarget = evhttp_request_get_uri(request);
-            const char* key = evhttp_find_header(evhttp_request_get_input_headers(request), "Idempotency-Key");
-            if (key)
-                ++self->runsByKey[key];
-            if (self->hold)
-                self->held.push_back(request);
-            else if (self->delay.ms > 0)
-                self->answerLater(request);
-            else
-                self->answer(request);
-        },
-        this);
+        http, [](evhttp_request* request, void* arg) { static_cast<TestUpstream*>(arg)->handle(request); }, this);
+}
+
+void TestUpstream::handle(evhttp_request* request)
+{
+    ++runs;
+    lastTarget = evhttp_request_get_uri(request);
+    const char* key = evhttp_find_header(evhttp_request_get_input_headers(request), "Idempotency-Key");
+    if (key)
+        ++runsByKey[key];
+    if (hold)
+        held.push_back(request);
+    else if (delay.ms > 0)
+        answerLater(request);
+    else
+        answer(request);
+}
+
+void TestUpstream::stopListening()
+{
+    evhttp_free(http);
+    http = nullptr;
 }
 
-TestUpstream::~TestUpstream() { evhttp_free(http); }
+void TestUpstream::listenAgain() { listen(address.port); }
+
+TestUpstream::~TestUpstream()
+{
+    if (http)
+        evhttp_free(http);
+}
 
 void TestUpstream::answerLater(evhttp_request* request)
 {
@@ -152,10 +170,22 @@
     event_base_loop(m_loop, EVLOOP_NONBLOCK);
 }
 
-void TestMesh::applyEverywhere(const std::string& answersFile)
+std::shared_ptr<config::Snapshot> TestMesh::snapshotFor(const std::string& answersFile)
 {
     const auto json = base::readJsonFile(std::string(SOURCE_FOLDER) + "/" + answersFile);
     auto snapshot = std::make_shared<config::Snapshot>(config::generate(config::readAnswers(json.value(), answersFile).value()));
+    snapshot->evacuatedZones = evacuatedZones;
+    for (auto& [name, it] : snapshot->services) {
+        it.coldRate = coldRate;
+        it.coldWindow = coldWindow;
+    }
+    snapshot->version = { ++m_version };
+    return snapshot;
+}
+
+void TestMesh::applyEverywhere(const std::string& answersFile)
+{
+    const auto snapshot = snapshotFor(answersFile);
     // As in a new mesh, the first version has no keepers and the next one names a keeper set. Keepers that start with an
     // existing set would first have to catch up.
     auto withoutKeepers = std::make_shared<config::Snapshot>(*snapshot);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,12 @@
     void answer(evhttp_request*);
     void answerLater(evhttp_request*);
     void answerHeld();
+    void stopListening(); // as if its process had ended: connections close, new ones are refused
+    void listenAgain();
+
+private:
+    void listen(uint16_t port);
+    void handle(evhttp_request*);
 };
 
 struct TestNode {
@@ -65,6 +72,7 @@
     TestNode& addNode(const std::string& host, const std::string& zone);
     void removeNode(const std::string& host); // as if the process were killed: its connections close
     void announce(TestNode&, const TestUpstream&, const std::string& state, int slots = 10, const std::string& version = "1.0", const std::string& service = "berth-data");
+    std::shared_ptr<appletally::config::Snapshot> snapshotFor(const std::string& answersFile); // with the next version
     void applyEverywhere(const std::string& answersFile); // the generated snapshot, and every endpoint known so far
     void shareEndpoints();
 
@@ -81,6 +89,9 @@
     appletally::http::ListenerLimits limits;
     appletally::base::Duration gracefulShutdownTimeout { 30000 }; // of nodes added from now on
     TestRollout rollout;
+    std::set<appletally::base::ZoneName> evacuatedZones; // in the next snapshot
+    appletally::base::RequestRate coldRate; // of all services in the next snapshot
+    appletally::base::Duration coldWindow;
 
 private:
     event_base* m_loop;
