A cold backend gets the overage that the platform allows, evenly spread

Of the ways to hold a cold backend's rate: cold_per_s (7.2 a second), cold_per_s times the platform's cold_overage (10.8), spread by the token bucket in both.

The larger one is kept; the adapter reads the factor from the settings, and the product's configuration has the rate that holds.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -101,6 +101,26 @@
     }
 }
 
+TEST_CASE("the rate of a cold backend is read with the overage that the platform allows", "[platform][cold]")
+{
+    // Guards against cold backends that idle below what they bear, and against a rate that is read from a damaged value.
+    Json json = configuration(7);
+    json["services"]["plugs"]["cold_window_s"] = 3.0;
+    json["services"]["plugs"]["cold_per_s"] = 7.2;
+    for (const auto& [overage, thousandths] : std::vector<std::pair<double, int64_t>> { { 1, 7200 }, { 1.5, 10'800 } }) {
+        const auto document = platform::readDocument(json.dump(), 5, overage);
+        REQUIRE(document);
+        const config::Service& service = document.value().services.at({ "plugs" }).service;
+        CHECK(service.coldRate.thousandths == thousandths);
+        CHECK(service.coldWindow == base::Duration { 3000 });
+    }
+    CHECK(platform::readDocument(configuration(7).dump(), 5, 1.5).value().services.at({ "plugs" }).service.coldRate.thousandths == 0);
+    json["services"]["plugs"]["cold_per_s"] = "7.2";
+    CHECK_FALSE(platform::readDocument(json.dump(), 5));
+    json["services"]["plugs"]["cold_per_s"] = -1;
+    CHECK_FALSE(platform::readDocument(json.dump(), 5));
+}
+
 TEST_CASE("a configuration is decoded into routes, services and limits", "[platform]")
 {
     const auto document = platform::readDocument(configuration(7).dump(), 5);
