The owner's rate has a file of its own; an upstream that does not say counts as cold for its window

owner.cpp held announcements, evidence, notices and the rate; owner_rate.cpp has the notices and the rate now (moved). An upstream that announced itself without saying whether it is cold, before its node had a configuration, got its full rate: its window counts from the first configuration on. Test fails before.

--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -1,11 +1,11 @@
-// The owner's view of its upstream: announcements, local version decisions, evidence. Calls are run in owner_run.cpp.
+// The owner's view of its upstream: announcements, local version decisions, evidence. Calls are run in owner_run.cpp, the
+// rate of requests is kept in owner_rate.cpp.
 #include "appletally/node/owner_call.h"
 
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 
 #include <algorithm>
-#include <cmath>
 #include <strings.h>
 
 namespace appletally::node {
@@ -20,9 +20,6 @@
 // that they go elsewhere instead of reaching a stopped upstream.
 constexpr Duration maxQueueTimeWhileDraining { 1000 };
 
-constexpr Duration unreadableLogInterval { 10'000 };
-constexpr double minLoggedChange = 0.1; // of a limit, as a part of the one before
-
 constexpr Duration busyTickInterval { 5 }; // upper bound on the delay of a refusal that has become certain
 constexpr Duration idleTickInterval { 250 }; // only announcements expire then; an idle node should use next to no CPU
 
@@ -207,104 +204,18 @@
 void Owner::apply(std::shared_ptr<const config::Snapshot> snapshot)
 {
     const bool wasEvacuated = isEvacuated();
+    const bool wasUnconfigured = !m_snapshot;
     m_snapshot = std::move(snapshot);
     for (auto& [version, it] : m_localDecisions)
         policy::onSnapshot(it, *m_snapshot);
     if (isEvacuated() && !wasEvacuated)
         refuseQueued(zoneEvacuated(m_settings.zone));
-    if (!isEvacuated() && wasEvacuated)
-        onRestartSuspected(); // without requests its caches went cold
-    updateRate();
-}
-
-void Owner::onNotices(const UpstreamNotices& notices, bool mayLift)
-{
-    logUnreadable(notices);
-    if (notices.limit || (mayLift && m_limit && !notices.limitUnreadable))
-        setLimit(notices.limit);
-    if (notices.leaving && !m_leaving && m_upstream)
-        onLeaving();
-}
-
-void Owner::onLeaving()
-{
-    const Time now = base::steadyNow();
-    m_leaving = true;
-    if (!m_upstream->id.empty())
-        m_leavingProcess = { m_upstream->id, m_upstream->startedAtMs };
-    m_drainingSince = m_drainingSince.value_or(now);
-    base::logEvent(base::Event::UpstreamLeft, m_upstream->service.text + " " + m_upstream->version.text + " at " + m_upstream->address.text() + ": it said so in an answer");
-    applyFollowup(policy::drain(m_admission, now));
-    m_events.load(currentLoad());
-    m_events.changed();
-}
-
-bool Owner::isLeaving(const Announcement& it) const
-{
-    return m_leavingProcess && m_leavingProcess->first == it.id && m_leavingProcess->second == it.startedAtMs;
-}
-
-void Owner::setLimit(std::optional<double> perSecond)
-{
-    if (!m_limit && !perSecond)
-        return;
-    const bool logged = m_limit && perSecond && std::abs(*perSecond - *m_limit) <= minLoggedChange * *m_limit;
-    m_limit = perSecond;
-    updateRate();
-    if (!logged && m_upstream)
-        base::logEvent(base::Event::UpstreamLimitChanged, m_upstream->service.text + " at " + m_upstream->address.text() + ": " + (perSecond ? std::to_string(*perSecond) + " requests a second" : "no limit"));
-}
-
-const config::Service* Owner::upstreamService() const
-{
-    if (!m_upstream || !m_snapshot)
-        return nullptr;
-    const auto it = m_snapshot->services.find(m_upstream->service);
-    return it == m_snapshot->services.end() ? nullptr : &it->second;
-}
-
-void Owner::onRestartSuspected()
-{
-    const config::Service* service = upstreamService();
-    if (!service || service->coldRate.thousandths == 0)
-        return;
-    policy::suspectCold(m_coldStart, service->coldWindow, base::steadyNow());
+    const bool unknownStart = wasUnconfigured && m_upstream && !m_upstream->coldRemaining;
+    if (unknownStart || (!isEvacuated() && wasEvacuated)) // without requests its caches went cold
+        onRestartSuspected();
     updateRate();
 }
 
-void Owner::updateRate()
-{
-    const Time now = base::steadyNow();
-    const config::Service* service = upstreamService();
-    const bool cold = service && service->coldRate.thousandths > 0 && policy::isCold(m_coldStart, now);
-    const auto rate = policy::rateLimitFor(m_limit, cold ? std::optional(service->coldRate.perSecond()) : std::nullopt);
-    const bool endsWithColdStart = cold && rate != m_limit;
-    const auto until = endsWithColdStart ? std::optional(m_coldStart.until) : std::nullopt;
-    if (rate != m_rate || until != m_rateUntil) {
-        m_rate = rate;
-        m_rateUntil = until;
-        applyFollowup(policy::setRate(m_admission, rate, now, until));
-    }
-    if (cold == m_cold)
-        return;
-    m_cold = cold;
-    base::logEvent(cold ? base::Event::UpstreamCold : base::Event::UpstreamWarm, m_upstream ? m_upstream->service.text + " at " + m_upstream->address.text() : "no upstream");
-    m_events.load(currentLoad());
-}
-
-void Owner::logUnreadable(const UpstreamNotices& notices)
-{
-    m_counts.unreadableLimits += notices.limitUnreadable ? 1 : 0;
-    m_counts.unreadableLeavings += notices.leavingUnreadable ? 1 : 0;
-    if (!notices.limitUnreadable && !notices.leavingUnreadable)
-        return;
-    const Time now = base::steadyNow();
-    if (m_unreadableLoggedAt && now - *m_unreadableLoggedAt < unreadableLogInterval)
-        return;
-    m_unreadableLoggedAt = now;
-    base::logEvent(base::Event::UpstreamNoticeUnreadable, m_upstream ? m_upstream->service.text + " at " + m_upstream->address.text() : "no upstream");
-}
-
 void Owner::record(const ActiveCall& it, RunEnd how)
 {
     if (how != RunEnd::Good && how != RunEnd::Failed)
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -173,3 +173,19 @@
     for (const auto& answer : it.askMany(20))
         CHECK(answer->status == 200);
 }
+
+TEST_CASE("an upstream that does not say whether it is cold counts as cold for its window", "[node][cold]")
+{
+    // Guards against the full rate for an upstream that announced itself before its node had a configuration.
+    TwoZones it;
+    it.mesh.coldRate = { 10'000 };
+    it.mesh.coldWindow = { 700 };
+    it.mesh.announce(it.b, it.second, "draining");
+    it.mesh.applyEverywhere("examples/berthgrid.json");
+    const base::Time since = base::steadyNow();
+    it.askMany(40);
+    CHECK(it.first.runs <= 10 * static_cast<double>((base::steadyNow() - since).ms) / 1000 + 3);
+    it.pass(750);
+    for (const auto& answer : it.askMany(20))
+        CHECK(answer->status == 200);
+}
