--- a/tests/cold_start_test.cpp
+++ b/tests/cold_start_test.cpp
@@ -151,7 +151,9 @@
     ColdReplay known(9, true);
     for (ColdUpstream& it : plain.upstreams)
         it.namesEnd = false;
-    plain.model.routing.useRates = false;
+    plain.model.routers.resize(3);
+    for (Router& it : plain.model.routers)
+        it.options.useRates = false;
     plain.model.run({ 9500 });
     known.model.run({ 9500 });
     const auto refusals = [](const Model& model) {
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -109,7 +109,6 @@
 struct Model {
     Queueing queueing = Queueing::Admission;
     Choosing choosing = Choosing::Routing;
-    RoutingOptions routing;
     Retrying retrying = Retrying::None;
     RetryBudget budget;
     bool hedging = false;
@@ -200,8 +199,6 @@
         routers.resize(3);
         for (size_t zone = 0; zone < routers.size(); ++zone)
             routers[zone].zone = { std::to_string(zone) };
-        for (Router& it : routers)
-            it.options = routing;
         std::vector<config::Endpoint> there;
         for (size_t n = 0; n < upstreams.size(); ++n) {
             const Upstream& it = upstreams[n];
