Tests of evacuations over lost leaders and restarts, and of a node that restarts beside a cold upstream

Kills the leader before, during and after the answer to evacuate start and end, then all voters; orders to a control process with and without reporting nodes, of unknown zones, and to one that does not lead; a node without a configuration beside a cold upstream. No change of the program.

--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -403,6 +403,39 @@
     CHECK(answer.error().code == base::Code::NoQuorum);
 }
 
+TEST_CASE("an order to evacuate a zone is acknowledged once the nodes have applied it", "[control][distribution][evacuation]")
+{
+    // Guards against an order that is refused because its answer was lost, that names no zone of the mesh, or that is
+    // acknowledged before the nodes that report have applied it.
+    auto io = kj::setupAsyncIo();
+    control_test::TestControl leader(io, control_test::StartState::Leader, { { "z1" }, { "z2" } });
+    while (!leader.process.leads())
+        io.provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(io.waitScope);
+    const auto order = [&](const char* zone, bool evacuated) { return leader.process.setZoneEvacuated({ { zone }, evacuated, {} }).wait(io.waitScope); };
+    CHECK(order("z1", false)); // an end without a start
+    CHECK(order("z1", true));
+    CHECK(order("z1", true));
+    CHECK(order("elsewhere", true).error().code == base::Code::AnswersInvalid);
+    CHECK(order("z2", true));
+
+    inner::NodeReport report;
+    report.appliedVersions = { { { "n" }, { 1 }, { 1 }, {}, false } };
+    leader.process.onNodeReport(report);
+    const base::Time since = base::steadyNow();
+    auto ending = leader.process.setZoneEvacuated({ { "z2" }, false, {} });
+    io.provider->getTimer().afterDelay(100 * kj::MILLISECONDS).wait(io.waitScope);
+    CHECK(!ending.poll(io.waitScope));
+    report.appliedVersions[0].version = { 1'000'000 };
+    leader.process.onNodeReport(report);
+    CHECK(ending.wait(io.waitScope));
+    CHECK(base::steadyNow() - since < base::Duration { 500 });
+    auto state = leader.process.committedState().wait(io.waitScope);
+    CHECK((state.value()->snapshot.evacuatedZones == std::set<base::ZoneName> { { "z1" } }));
+
+    control_test::TestControl outsider(io, control_test::StartState::NotMember);
+    CHECK(outsider.process.setZoneEvacuated({ { "z1" }, true, {} }).wait(io.waitScope).error().code == base::Code::NotLeader);
+}
+
 TEST_CASE("a starting node applies no version below the one that a majority of voters recorded", "[control][distribution]")
 {
     // Guards against a return to an older version: the node has no state and its source is behind. Content below the proven
--- a/tests/control_fixture.h
+++ b/tests/control_fixture.h
@@ -15,14 +15,15 @@
     NotMember }; // empty folder, waits until a leader adds it
 
 struct TestControl {
-    TestControl(kj::AsyncIoContext& io, StartState startState)
-        : process(io, settings(), disk(startState))
+    TestControl(kj::AsyncIoContext& io, StartState startState, std::vector<base::ZoneName> zones = {})
+        : process(io, settings(std::move(zones)), disk(startState))
     {
     }
 
-    static control::ControlSettings settings()
+    static control::ControlSettings settings(std::vector<base::ZoneName> zones)
     {
         control::ControlSettings out;
+        out.zones = std::move(zones);
         out.membership = { { "mesh" }, {}, { "c" } };
         out.listen = { "127.0.0.1", 0 };
         out.claims = false;
--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -156,6 +156,47 @@
     CHECK(versionsIn(mesh.read("versions")) == accepted);
 }
 
+TEST_CASE("an evacuation outlives the loss of its leader before, during and after its answer, and a restart of all", "[process][control][evacuation]")
+{
+    // Guards against a zone that gets requests again, or that stays empty, because the process that took the order was lost.
+    Mesh mesh;
+    versionIn(mesh.submit("ann", answers("team", 9)));
+    const auto order = [&](const char* what, int number) {
+        return std::vector<std::string> { "--json", "--request", std::to_string(number), "--base", "1", mesh.operatorSettings("ann"), "evacuate", what, "z1" };
+    };
+    const auto kill = [&](int n) {
+        mesh.voters[n].signal(SIGKILL);
+        mesh.voters[n].finish();
+    };
+    const auto zones = [&] { return mesh.read("status")["evacuated_zones"]; };
+
+    const int first = mesh.leader(); // lost before the order
+    kill(first);
+    const uint64_t started = versionIn(run("appletallyctl", order("start", 2)));
+    mesh.start(first);
+    CHECK(zones() == json { "z1" });
+
+    const int second = mesh.leader(); // lost after its answer
+    kill(second);
+    CHECK(versionIn(run("appletallyctl", order("start", 2))) == started);
+    mesh.start(second);
+
+    for (int round = 0; round < 4; ++round) { // lost during the order
+        const int leading = mesh.leader();
+        Program ctl("appletallyctl", order(round % 2 == 0 ? "end" : "start", 3 + round));
+        kill(leading);
+        const uint64_t version = versionIn(ctl.finish());
+        mesh.start(leading);
+        CHECK(versionIn(run("appletallyctl", order(round % 2 == 0 ? "end" : "start", 3 + round))) == version);
+        CHECK(zones().size() == (round % 2 == 0 ? 0U : 1U));
+    }
+    for (int n = 0; n < 3; ++n)
+        kill(n);
+    for (int n = 0; n < 3; ++n)
+        mesh.start(n);
+    CHECK(zones() == json { "z1" });
+}
+
 TEST_CASE("a frozen leader is replaced, and follows the new one after it resumes", "[process][control]")
 {
     // Guards against a stale leader: the leader's host hangs for some seconds (SIGSTOP) and resumes as leader of an old term.
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -189,3 +189,35 @@
     for (const auto& answer : it.askMany(20))
         CHECK(answer->status == 200);
 }
+
+TEST_CASE("a node that restarts beside a cold upstream holds its rate from the first request on", "[node][cold]")
+{
+    // Guards against a node that has forgotten with its restart that the upstream is cold, or does not know the rate yet.
+    TwoZones it;
+    it.mesh.coldRate = { 10'000 };
+    it.mesh.coldWindow = { 2000 };
+    it.mesh.applyEverywhere("examples/berthgrid.json");
+    it.mesh.removeNode("a");
+    TestNode& restarted = it.mesh.addNode("a", "z1");
+    const auto announce = [&] { restarted.node->announce({ { "berth-data" }, { "1.0" }, it.first.address, 10, config::EndpointState::Ready, "i-1", 1, {}, base::Duration { 1500 } }); };
+    announce();
+    it.mesh.shareEndpoints();
+    it.mesh.nodes().at("b")->node->announce({ { "berth-data" }, { "1.0" }, it.second.address, 10, config::EndpointState::Draining, "", 0 });
+    const int before = it.first.runs;
+    for (int n = 0; n < 5; ++n) { // the restarted node has no configuration, so it does not know the rate
+        const auto answer = it.mesh.ask(it.b, "GET", "/berths/1", { "Appletally-Timeout-Ms: 500" });
+        REQUIRE(it.mesh.run([&] { return answer->done; }));
+        CHECK(answer->status == 503);
+        CHECK(answer->headers["appletally-not-run"] == "1");
+    }
+    CHECK(it.first.runs == before);
+    it.mesh.applyEverywhere("examples/berthgrid.json");
+    announce();
+    const base::Time since = base::steadyNow();
+    std::vector<std::shared_ptr<TestAnswer>> answers;
+    for (int n = 0; n < 40; ++n)
+        answers.push_back(it.mesh.ask(it.b, "GET", "/berths/" + std::to_string(n), { "Appletally-Timeout-Ms: 700" }));
+    REQUIRE(it.mesh.run([&] { return std::all_of(answers.begin(), answers.end(), [](const auto& answer) { return answer->done; }); }));
+    CHECK(it.first.runs > before);
+    CHECK(it.first.runs - before <= 10 * static_cast<double>((base::steadyNow() - since).ms) / 1000 + 3);
+}
