--- a/src/appletally/node/announce_port.cpp
+++ b/src/appletally/node/announce_port.cpp
@@ -29,8 +29,8 @@
     out.slots = static_cast<int>(reader.integer("slots", 1, 10000));
     const size_t state = reader.choice("state", { "starting", "ready", "draining" });
     out.state = static_cast<config::EndpointState>(state);
-    if (reader.has("cold_remaining_ms"))
-        out.coldRemaining = reader.duration("cold_remaining_ms", {}, maxColdRemaining, {});
+    if (reader.has("cold_for_ms"))
+        out.coldRemaining = reader.duration("cold_for_ms", {}, maxColdRemaining, {});
     reader.finish();
     if (problem.first)
         return *problem.first;
--- a/src/appletally/policy/admission.cpp
+++ b/src/appletally/policy/admission.cpp
@@ -2,8 +2,6 @@
 #include "appletally/policy/admission_parts.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <optional>
 
 namespace appletally::policy {
--- a/src/appletally/policy/admission_refusal.cpp
+++ b/src/appletally/policy/admission_refusal.cpp
@@ -2,8 +2,6 @@
 #include "appletally/policy/admission_parts.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 
 namespace appletally::policy {
 
@@ -13,7 +11,6 @@
 namespace {
 
     constexpr base::Duration minRetryAfter { 20 };
-
     constexpr base::Duration maxRetryAfter { 15'000 }; // estimates further ahead mean nothing
 
     // Slot time reserved for the retry of each refused request, in its own run times. Retries thus get a third of the
--- a/src/appletally/policy/admission_slots.cpp
+++ b/src/appletally/policy/admission_slots.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace appletally::policy {
 
@@ -16,9 +15,7 @@
     constexpr base::Duration minLongRun { 200 };
 
     constexpr double longJobShare = 0.3; // of the slots, while short requests arrive: 3 of 10, 2 of 6
-
     constexpr base::Duration averagingWindow { 500 }; // of the moving means; half a second of 10 slots is 250 usual runs
-
     constexpr base::Duration startsWindow { 2000 }; // of the mean of starts; a rate of a few a second shows in no less
 
 } // namespace
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -2,7 +2,6 @@
 #include "appletally/policy/routing_estimate.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <xxhash.h>
 
