--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -107,7 +107,9 @@
     it.pass(50);
     it.mesh.evacuatedZones = { { "z1" } };
     it.mesh.applyEverywhere("examples/berthgrid.json");
+    const base::Time ordered = base::steadyNow();
     REQUIRE(it.mesh.run([&] { return waiting->done; }));
+    CHECK(base::steadyNow() - ordered < base::Duration { 500 });
     CHECK(waiting->headers["appletally-not-run"] == "1");
     CHECK(!running->done);
     it.first.answerHeld();
@@ -215,6 +217,7 @@
     announce();
     const base::Time since = base::steadyNow();
     std::vector<std::shared_ptr<TestAnswer>> answers;
+    answers.reserve(40);
     for (int n = 0; n < 40; ++n)
         answers.push_back(it.mesh.ask(it.b, "GET", "/berths/" + std::to_string(n), { "Appletally-Timeout-Ms: 700" }));
     REQUIRE(it.mesh.run([&] { return std::all_of(answers.begin(), answers.end(), [](const auto& answer) { return answer->done; }); }));
