A stopping owner ends its links only after other nodes have received its answers

Cause: a node counted as done when its runs had ended. Answers that still waited in the memory of its links, behind others on a congested host's link, were dropped by the exit, and an immediate close resets a connection on which the other side's heartbeats arrive.

Change: a stopping node accepts no more links, writes what is buffered, half-closes each link and waits for the other side's close, at most until the graceful shutdown timeout.

--- a/src/appletally/inner/node_link.cpp
+++ b/src/appletally/inner/node_link.cpp
@@ -11,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace appletally::inner {
 
@@ -54,7 +55,8 @@
 {
     m_bufferEvent = bufferevent_socket_new(m_loop, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
-        m_bufferEvent, [](bufferevent*, void* self) { static_cast<NodeLink*>(self)->onReadable(); }, nullptr,
+        m_bufferEvent, [](bufferevent*, void* self) { static_cast<NodeLink*>(self)->onReadable(); },
+        [](bufferevent*, void* self) { static_cast<NodeLink*>(self)->closeDirectionIfWritten(); },
         [](bufferevent* buffers, short what, void* self) {
             if (what & BEV_EVENT_CONNECTED) {
                 const int one = 1;
@@ -96,7 +98,7 @@
 
 void NodeLink::send(capnp::MessageBuilder& message)
 {
-    if (!m_failure)
+    if (!m_failure && !m_directionClosed)
         appendFrame(bufferevent_get_output(m_bufferEvent), message);
 }
 
@@ -111,6 +113,24 @@
     event_active(m_downEvent, 0, 0);
 }
 
+void NodeLink::finish()
+{
+    if (m_finishing)
+        return;
+    m_finishing = true;
+    if (m_stage != Stage::Up)
+        return fail(base::fail(Code::PeerGone, "this process is stopping"));
+    closeDirectionIfWritten();
+}
+
+void NodeLink::closeDirectionIfWritten()
+{
+    if (!m_finishing || m_directionClosed || m_failure || backlog() > 0)
+        return;
+    m_directionClosed = true;
+    ::shutdown(bufferevent_getfd(m_bufferEvent), SHUT_WR);
+}
+
 void NodeLink::notifyDown()
 {
     // Moved out first: the handler may destroy this link, and the std::function with it.
@@ -228,7 +248,7 @@
         return;
     if (base::steadyNow() - m_lastReceived > silenceTimeout)
         return fail(base::fail(Code::PeerTimedOut, "no data received for " + std::to_string(silenceTimeout.ms) + " ms"));
-    if (m_stage != Stage::Up)
+    if (m_stage != Stage::Up || m_finishing)
         return;
     capnp::MallocMessageBuilder message;
     message.initRoot<wire::LinkMessage>().setPing(0);
--- a/src/appletally/inner/node_link.h
+++ b/src/appletally/inner/node_link.h
@@ -45,9 +45,13 @@
     NodeLink(const NodeLink&) = delete;
     NodeLink& operator=(const NodeLink&) = delete;
 
-    void send(capnp::MessageBuilder&); // no-op on a link that is down
+    void send(capnp::MessageBuilder&); // no-op on a link that is down or finished
     void fail(base::Error); // `down` is called later from the event loop
 
+    // Writes what is buffered and then closes this direction only; `down` is called once the peer has closed the other one.
+    // An immediate close discards answers that are still buffered, and resets the connection if the peer sends meanwhile.
+    void finish();
+
     bool isUp() const { return m_stage == Stage::Up && !m_failure; }
     bool isFresh(base::Time now) const { return isUp() && now - m_lastReceived < maxFreshLinkAge; }
     const base::HostId& peer() const { return m_peer; } // empty before `up`
@@ -68,6 +72,7 @@
     void onProven(capnp::Data::Reader);
     void markUp();
     void onHeartbeatTimer();
+    void closeDirectionIfWritten();
     void notifyDown();
 
     event_base* m_loop;
@@ -83,6 +88,8 @@
     Nonce m_serverNonce {};
     base::Time m_lastReceived;
     std::optional<base::Error> m_failure; // set at most once; afterwards only m_downEvent fires
+    bool m_finishing = false;
+    bool m_directionClosed = false; // only with m_finishing: nothing more is sent
 };
 
 } // namespace appletally::inner
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -172,11 +172,14 @@
         m_finalAnswersSent = true;
         m_ingress.answerPendingRequests();
     }
-    const bool done = m_acceptingStopped && m_ingress.idle() && m_owner.idle() && m_claims.idle();
+    const bool idle = m_acceptingStopped && m_ingress.idle() && m_owner.idle() && m_claims.idle();
+    if (idle)
+        m_ownerLinks.finish();
+    const bool done = idle && m_ownerLinks.links() == 0;
     if (!done && stopping < m_settings.gracefulShutdownTimeout)
         return;
     if (!done)
-        base::logEvent(Event::GracefulShutdownTimedOut, "requests were still active after " + std::to_string(m_settings.gracefulShutdownTimeout.ms) + " ms");
+        base::logEvent(Event::GracefulShutdownTimedOut, "requests were still active, or answers not delivered, after " + std::to_string(m_settings.gracefulShutdownTimeout.ms) + " ms");
     const auto stopped = std::move(m_stopped);
     m_stopped = nullptr;
     stopped();
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -34,8 +34,9 @@
     base::Result<NodeAddresses> listen(); // AddressInUse, with the address in the message
 
     // Graceful shutdown: serves new requests for drainTime while callers move to other nodes, and keeps its upstream
-    // available to other nodes for most of it. Then announces draining, closes the listener and waits for active requests,
-    // at most until gracefulShutdownTimeout. `stopped` is called from the loop.
+    // available to other nodes for most of it. Then announces draining, closes the listener and waits for active requests
+    // and until other nodes have received all answers, at most until gracefulShutdownTimeout. `stopped` is called from the
+    // loop.
     void stop(std::function<void()> stopped);
 
     // --- For an ExtraPort on which the upstream uses another protocol ---
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <capnp/message.h>
 #include <netinet/in.h>
+#include <utility>
 
 namespace appletally::node {
 
@@ -189,6 +190,14 @@
     });
 }
 
+void OwnerLinks::finish()
+{
+    if (m_listener)
+        evconnlistener_free(std::exchange(m_listener, nullptr));
+    for (const auto& it : m_links)
+        it->link->finish();
+}
+
 void OwnerLinks::broadcastLoad(const policy::Load& load)
 {
     capnp::MallocMessageBuilder out;
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -31,6 +31,7 @@
 
     base::Result<base::Address> listen(const base::Address&);
     void broadcastLoad(const policy::Load&); // sends an unsolicited load report to every linked node
+    void finish(); // accepts no more links, and ends each one after its peer has received all answers; idempotent
     const InnerCounts& counts() const { return m_counts; }
     size_t links() const { return m_links.size(); }
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -5,12 +5,22 @@
 #include "appletally/inner/frame.h"
 #include "appletally/inner/node_link.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <event2/listener.h>
 
 using namespace appletally;
 
 namespace {
 
+base::Json dumpOf(TestMesh& mesh, TestNode& node)
+{
+    node.fromControl.send(inner::DumpRequested { 1 });
+    event_base_loop(mesh.loop(), EVLOOP_NONBLOCK);
+    return base::Json::parse(std::get<inner::DumpAnswered>(node.toControl.back()).json);
+}
+
 struct Edge {
     TestMesh mesh;
     std::unique_ptr<TestUpstream> upstream = std::make_unique<TestUpstream>(mesh.loop());
@@ -131,11 +141,7 @@
     bufferevent_socket_connect(raw, reinterpret_cast<sockaddr*>(&to), sizeof to);
     const std::string request = "GET /archive/2026 HTTP/1.1\r\nHost: a\r\n\r\n";
     evbuffer_add(bufferevent_get_output(raw), request.data(), request.size());
-    const auto dump = [&] {
-        edge.node->fromControl.send(inner::DumpRequested { 1 });
-        event_base_loop(edge.mesh.loop(), EVLOOP_NONBLOCK);
-        return base::Json::parse(std::get<inner::DumpAnswered>(edge.node->toControl.back()).json);
-    };
+    const auto dump = [&] { return dumpOf(edge.mesh, *edge.node); };
     REQUIRE(edge.mesh.run([&] { return edge.upstream->runs == 1; }));
     REQUIRE(edge.mesh.run([&] { return dump()["owner"]["load"]["running"] == 0; }));
     CHECK(dump()["ingress"]["underWay"] == 0);
@@ -185,6 +191,144 @@
     CHECK(got > answers * edge.upstream->bodyBytes);
 }
 
+namespace {
+
+// Forwards the bytes of one connection to `target`. While paused, nothing of the target's answers passes, as on a congested
+// link.
+struct PausableRelay {
+    PausableRelay(event_base* eventLoop, base::Address to)
+        : loop(eventLoop)
+        , target(std::move(to))
+    {
+        std::signal(SIGPIPE, SIG_IGN); // the target may close while there is something to write
+        sockaddr_in at = loopback(0);
+        listener = evconnlistener_new_bind(
+            loop, [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) { static_cast<PausableRelay*>(self)->accept(fd); }, this,
+            LEV_OPT_CLOSE_ON_FREE, 16, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        socklen_t n = sizeof at;
+        getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr*>(&at), &n);
+        address = { "127.0.0.1", ntohs(at.sin_port) };
+    }
+    ~PausableRelay()
+    {
+        evconnlistener_free(listener);
+        for (bufferevent* it : { client, server }) {
+            if (it)
+                bufferevent_free(it);
+        }
+    }
+
+    static sockaddr_in loopback(uint16_t port)
+    {
+        sockaddr_in out {};
+        out.sin_family = AF_INET;
+        out.sin_port = htons(port);
+        out.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return out;
+    }
+
+    void accept(evutil_socket_t fd)
+    {
+        client = bufferevent_socket_new(loop, fd, BEV_OPT_CLOSE_ON_FREE);
+        server = bufferevent_socket_new(loop, -1, BEV_OPT_CLOSE_ON_FREE);
+        for (bufferevent* it : { client, server }) {
+            bufferevent_setcb(
+                it, [](bufferevent* from, void* self) { static_cast<PausableRelay*>(self)->forward(from); }, nullptr,
+                [](bufferevent* from, short what, void* self) {
+                    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                        static_cast<PausableRelay*>(self)->onEnd(from);
+                },
+                this);
+            bufferevent_enable(it, EV_READ | EV_WRITE);
+        }
+        const sockaddr_in to = loopback(target.port);
+        bufferevent_socket_connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    }
+
+    bufferevent* other(bufferevent* it) const { return it == client ? server : client; }
+    void forward(bufferevent* from) { bufferevent_write_buffer(other(from), bufferevent_get_input(from)); }
+    void onEnd(bufferevent* from)
+    {
+        forward(from);
+        bufferevent_flush(other(from), EV_WRITE, BEV_FINISHED);
+        bufferevent_setcb(
+            other(from), [](bufferevent* it, void* self) { static_cast<PausableRelay*>(self)->forward(it); },
+            [](bufferevent* it, void*) { ::shutdown(bufferevent_getfd(it), SHUT_WR); },
+            [](bufferevent* it, short what, void* self) {
+                if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+                    static_cast<PausableRelay*>(self)->onEnd(it);
+            },
+            this);
+        if (evbuffer_get_length(bufferevent_get_output(other(from))) == 0)
+            ::shutdown(bufferevent_getfd(other(from)), SHUT_WR);
+    }
+    void setPaused(bool paused) { paused ? bufferevent_disable(server, EV_READ) : bufferevent_enable(server, EV_READ); }
+
+    event_base* loop;
+    base::Address target;
+    base::Address address;
+    evconnlistener* listener = nullptr;
+    bufferevent* client = nullptr;
+    bufferevent* server = nullptr;
+};
+
+} // namespace
+
+// Guards against answers that are lost in the memory of an owner that exits: all of its runs have ended, but their answers
+// still wait for the congested link to the callers' node.
+TEST_CASE("a stopping owner exits only after other nodes have received its answers", "[edge]")
+{
+    TestMesh mesh;
+    TestUpstream upstream(mesh.loop());
+    TestNode& owner = mesh.addNode("a", "z1");
+    TestNode& ingress = mesh.addNode("b", "z2");
+    PausableRelay relay(mesh.loop(), owner.addresses.inner);
+    constexpr int answers = 24; // together more than the system's socket buffers accept at once
+    mesh.announce(owner, upstream, "ready", answers);
+    mesh.applyEverywhere("examples/berthgrid.json");
+    config::Endpoint behindRelay;
+    for (const inner::FromNode& it : owner.toControl) {
+        if (const auto* announced = std::get_if<inner::EndpointAnnounced>(&it))
+            behindRelay = announced->endpoint;
+    }
+    behindRelay.inner = relay.address;
+    ++behindRelay.sequence.value;
+    ingress.fromControl.send(inner::EndpointsChanged { { behindRelay } });
+    const auto first = mesh.ask(ingress, "GET", "/archive/first");
+    REQUIRE(mesh.run([&] { return first->done; }));
+    REQUIRE(relay.server);
+
+    upstream.bodyBytes = 250 * 1024;
+    relay.setPaused(true);
+    std::vector<std::shared_ptr<TestAnswer>> received;
+    for (int n = 0; n < answers; ++n)
+        received.push_back(mesh.ask(ingress, "GET", "/archive/" + std::to_string(n)));
+    const auto running = [&] { return dumpOf(mesh, owner)["owner"]["load"]["running"].get<int>(); };
+    REQUIRE(mesh.run([&] { return upstream.runs == answers + 1 && running() == 0; }));
+
+    bool stopped = false;
+    owner.node->stop([&] { stopped = true; });
+    const base::Time resumeAt = base::steadyNow() + base::Duration { 400 }; // later than the node would exit without unsent answers
+    event* wakeTimer = event_new(
+        mesh.loop(), -1, EV_PERSIST, [](evutil_socket_t, short, void*) {}, nullptr);
+    const timeval wakeInterval { 0, 1000 };
+    event_add(wakeTimer, &wakeInterval);
+    const auto allDone = [&] { return std::all_of(received.begin(), received.end(), [](const auto& it) { return it->done; }); };
+    const bool ended = mesh.run([&] {
+        if (stopped && owner.node)
+            owner.node.reset(); // the process has exited; data not yet written is lost
+        if (base::steadyNow() >= resumeAt)
+            relay.setPaused(false);
+        return stopped && allDone();
+    });
+    event_free(wakeTimer);
+    CHECK(ended);
+    for (const auto& it : received) {
+        CHECK(it->status == 200);
+        CHECK(it->body.size() == upstream.bodyBytes);
+    }
+}
+
 TEST_CASE("the inner port closes on malformed data, another cluster, a wrong key and oversized frames", "[edge]")
 {
     // Any host on the network can connect to the inner port, and messages there act on behalf of callers. So the handshake
