Retries and hedges of all nodes together stay within a service's budget

Each of 986 nodes had a bucket of ten tokens for retries and one of five for hedges, filled in the calm before; the sum grows with the nodes.

Change: tokens expire ten seconds after they were earned, hedges draw on the retries' tokens, and the fixed allowance is shared by all nodes. A node that does not earn a whole token within ten seconds stakes what it has.

--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -115,6 +115,9 @@
         else
             m_endpoints[it.host] = it;
     }
+    const int64_t allowance = policy::allowanceOf(m_endpoints.size()); // each node has one endpoint
+    for (auto& [service, budget] : m_retries)
+        budget.allowance = allowance;
     for (const auto& [service, list] : byService) {
         auto router = m_routers.find(service);
         if (router != m_routers.end())
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -243,7 +243,7 @@
     }
     ++m_counts.retried;
     base::logRequest(base::Event::RequestRetried, it.name,
-        { { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "after_ms", decision.after.ms }, { "budget_thousandths", m_retries[it.call.service].tokens } });
+        { { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "after_ms", decision.after.ms }, { "budget_thousandths", policy::available(m_retries[it.call.service], base::steadyNow()) } });
     if (decision.after.ms <= 0)
         return send(it);
     it.retryPending = true;
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -181,8 +181,8 @@
     if (!pick)
         return onNoUpstreamLeft(it);
     if (it.attemptCount == 0) {
-        policy::accrue(m_retries[it.call.service]);
-        policy::accrue(m_hedges[it.call.service]);
+        policy::accrue(m_retries[it.call.service], now);
+        policy::accrue(m_hedges[it.call.service], now);
         armHedge(it);
     }
     startAttempt(it, *pick, false);
@@ -316,11 +316,12 @@
     const bool useful = it.activeAttempts.size() == 1 && it.attemptCount == 1 && !it.streaming;
     if (!useful)
         return;
-    const auto pick = policy::pick(m_routers[it.call.service], { it.route->name, it.attemptedHosts, it.activeAttempts[0]->pick.version, false }, base::steadyNow(), inner::randomNumber());
+    const Time now = base::steadyNow();
+    const auto pick = policy::pick(m_routers[it.call.service], { it.route->name, it.attemptedHosts, it.activeAttempts[0]->pick.version, false }, now, inner::randomNumber());
     if (!pick)
         return;
-    if (!policy::acquireHedge(m_hedges[it.call.service])) {
-        policy::answered(m_routers[it.call.service], { pick->host, it.route->name, AnswerKind::Cancelled, {}, {} }, base::steadyNow());
+    if (!policy::acquireHedge(m_hedges[it.call.service], m_retries[it.call.service], now, inner::randomNumber())) {
+        policy::answered(m_routers[it.call.service], { pick->host, it.route->name, AnswerKind::Cancelled, {}, {} }, now);
         return;
     }
     ++m_counts.hedged;
--- a/src/appletally/policy/hedge.cpp
+++ b/src/appletally/policy/hedge.cpp
@@ -14,8 +14,7 @@
     constexpr int minAnswers = 30; // with fewer, 97 of 100 means nothing
     constexpr double minMs = 1;
 
-    constexpr int64_t tokensPerHedge = 1000;
-    constexpr int64_t maxTokens = 5 * tokensPerHedge; // idle time must not save up for a hundred copies at once
+    constexpr int64_t maxTokens = 5 * wholeToken; // idle time must not save up for a hundred copies at once
 
 } // namespace
 
@@ -30,7 +29,11 @@
     it.ms = std::max(it.ms, minMs);
 }
 
-void accrue(HedgeBudget& it) { it.tokens = std::min(maxTokens, it.tokens + it.perFirstAttempt.value); }
+void accrue(HedgeBudget& it, base::Time now)
+{
+    advance(it.tokens, now);
+    earn(it.tokens, it.perFirstAttempt.value, maxTokens);
+}
 
 std::optional<base::Duration> hedgeDelay(bool idempotent, const LatencyEstimate& estimate, base::Time deadline, base::Time now)
 {
@@ -42,12 +45,11 @@
     return after;
 }
 
-bool acquireHedge(HedgeBudget& it)
+bool acquireHedge(HedgeBudget& it, RetryBudget& retries, base::Time now, uint64_t random)
 {
-    if (it.tokens < tokensPerHedge)
-        return false;
-    it.tokens -= tokensPerHedge;
-    return true;
+    advance(it.tokens, now);
+    const uint64_t other = random >> 32; // each budget has its own chance
+    return takeToken(it.tokens, random) && takeToken(retries, now, other);
 }
 
 } // namespace appletally::policy
--- a/src/appletally/policy/hedge.h
+++ b/src/appletally/policy/hedge.h
@@ -3,11 +3,14 @@
 //
 // Load pattern: a healthy upstream that now and then takes fifty times as long (a pause of its runtime, a page fault).
 // Without it a caller that makes seven such calls often meets one of them. Under overload every answer is late, and
-// hedges would double the load; hence the budget, and a quantile that follows the latency.
+// hedges would double the load; hence a budget of their own within that of the service's retries, and a quantile that
+// follows the latency.
 #pragma once
 
 #include "appletally/base/clock.h"
 #include "appletally/base/ids.h"
+#include "appletally/policy/retry.h"
+#include "appletally/policy/token_window.h"
 
 #include <optional>
 
@@ -24,15 +27,17 @@
 // read is hedged.
 void observe(LatencyEstimate&, base::Duration took);
 
-// Tokens in thousandths: each first attempt earns `perFirstAttempt`, each hedge costs 1000. One per service and node.
+// One per service and node. Each first attempt earns `perFirstAttempt`, each hedge costs a token.
 struct HedgeBudget {
     base::PerMille perFirstAttempt { 50 };
-    int64_t tokens = 0; // invariant: 0 <= tokens <= the bucket's size
+    TokenWindow tokens {};
 };
-void accrue(HedgeBudget&); // at each first attempt
+void accrue(HedgeBudget&, base::Time now); // at each first attempt
 
 // Time without an answer after which a copy is sent; none: this request is never hedged.
 std::optional<base::Duration> hedgeDelay(bool idempotent, const LatencyEstimate&, base::Time deadline, base::Time now);
-bool acquireHedge(HedgeBudget&); // at that time; false: the budget is spent, no copy
+
+// At that time. False: a budget is spent, no copy is sent. A copy is a repeat, so it also costs a token of the retries.
+bool acquireHedge(HedgeBudget&, RetryBudget&, base::Time now, uint64_t random);
 
 } // namespace appletally::policy
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -2,12 +2,15 @@
 #include "appletally/policy/retry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace appletally::policy {
 namespace {
 
-    constexpr int64_t tokensPerRetry = 1000;
-    constexpr int64_t maxTokens = 10 * tokensPerRetry; // a burst of ten failures may be retried, not a whole outage
+    constexpr int64_t maxTokens = 10 * wholeToken; // a burst of ten failures may be retried, not a whole outage
+    constexpr int64_t maxAllowance = 3 * wholeToken; // of one node
+    constexpr int64_t totalAllowance = 20 * wholeToken; // of all nodes
+
     // If a second upstream, picked by load, is full as well, the service is full.
     constexpr int maxAttemptsWhenFull = 2;
 
@@ -68,7 +71,32 @@
 
 } // namespace
 
-void accrue(RetryBudget& it) { it.tokens = std::min(maxTokens, it.tokens + it.perFirstAttempt.value); }
+int64_t allowanceOf(size_t nodes) { return std::min(maxAllowance, totalAllowance / static_cast<int64_t>(std::max<size_t>(nodes, 1))); }
+
+static void earnAllowance(RetryBudget& it, base::Time now)
+{
+    const int64_t begun = advance(it.tokens, now);
+    const int64_t slots = std::exchange(it.started, true) ? begun : TokenWindow::slotCount;
+    earn(it.tokens, it.allowance * slots / static_cast<int64_t>(TokenWindow::slotCount), maxTokens);
+}
+
+int64_t available(RetryBudget& it, base::Time now)
+{
+    earnAllowance(it, now);
+    return available(it.tokens);
+}
+
+bool takeToken(RetryBudget& it, base::Time now, uint64_t random)
+{
+    earnAllowance(it, now);
+    return takeToken(it.tokens, random);
+}
+
+void accrue(RetryBudget& it, base::Time now)
+{
+    earnAllowance(it, now);
+    earn(it.tokens, it.perFirstAttempt.value, maxTokens);
+}
 
 RetryDecision mayRetry(RetryBudget& it, const FailedAttempt& failed, base::Time now, uint64_t random)
 {
@@ -83,9 +111,9 @@
         return doNotRetry(failed.code);
     if (kind == Kind::Moved || kind == Kind::NoRoom)
         return { true, {}, base::Code::Ok };
-    if (it.tokens < tokensPerRetry)
+    const uint64_t other = random >> 32; // independent of the pause
+    if (!takeToken(it, now, other))
         return doNotRetry(failed.code);
-    it.tokens -= tokensPerRetry;
     return { true, pause, base::Code::Ok };
 }
 
--- a/src/appletally/policy/retry.h
+++ b/src/appletally/policy/retry.h
@@ -2,21 +2,31 @@
 //
 // Load pattern: a failing or full service, called through up to seven layers, each of which could retry. Without bounds
 // three attempts at each of seven layers make 2187 calls out of one, and a service that was full for a moment cannot
-// recover.
+// recover. The budget holds over all nodes together: a service that fails as a whole gets, from any number of nodes, no
+// more retries than its first attempts and its fixed allowance earn.
 #pragma once
 
 #include "appletally/base/ids.h"
 #include "appletally/base/result.h"
+#include "appletally/policy/token_window.h"
 
 namespace appletally::policy {
 
-// Tokens in thousandths: each first attempt earns `perFirstAttempt`, each retry that may add load costs 1000. One per
-// service and node. It begins with three retries, so that a service that is hardly ever called may be retried as well.
+// One per service and node. Each first attempt earns `perFirstAttempt`, each retry that may add load and each hedge costs a
+// token. In addition all nodes together earn a fixed allowance, so that a service that is hardly ever called may be retried
+// as well.
 struct RetryBudget {
     base::PerMille perFirstAttempt { 100 };
-    int64_t tokens = 3000; // invariant: 0 <= tokens <= the bucket's size
+    int64_t allowance = 3000; // of this node, in thousandths of a token per tokenLifetime; see allowanceOf()
+    TokenWindow tokens {};
+    bool started = false; // has earned its first allowance
 };
 
+// Allowance of each node of a mesh, in thousandths of a token per tokenLifetime.
+int64_t allowanceOf(size_t nodes);
+int64_t available(RetryBudget&, base::Time now); // in thousandths
+bool takeToken(RetryBudget&, base::Time now, uint64_t random);
+
 // An attempt that did not end in a complete good answer.
 struct FailedAttempt {
     bool idempotent = false;
@@ -34,7 +44,7 @@
     base::Code code = base::Code::Ok; // the caller's final answer if not retried; never turns "may have run" into "not run"
 };
 
-void accrue(RetryBudget&); // at each first attempt
+void accrue(RetryBudget&, base::Time now); // at each first attempt
 RetryDecision mayRetry(RetryBudget&, const FailedAttempt&, base::Time now, uint64_t random);
 
 // True: the answer to the layer above must carry the header that stops its retries. Only the layer next to a failure
--- a/tests/load_model.h
+++ b/tests/load_model.h
@@ -223,8 +223,8 @@
         if (now > streams[n].to)
             return;
         ++tallies[n].offered;
-        accrue(budget);
-        accrue(hedges);
+        accrue(budget, now);
+        accrue(hedges, now);
         call(n, false);
         at(next(n), [this, n] { arrive(n); });
     }
@@ -238,7 +238,7 @@
         const auto hedge = hedging ? hedgeDelay(true, slowAnswer, calls[id].deadline, now) : std::nullopt;
         if (hedge)
             at(now + *hedge, [this, id] {
-                if (calls[id].open && calls[id].attempts.size() == 1 && acquireHedge(hedges))
+                if (calls[id].open && calls[id].attempts.size() == 1 && acquireHedge(hedges, budget, now, random()))
                     send(id);
             });
     }
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <random>
 
 using namespace appletally;
 using namespace appletally::load_model;
@@ -51,7 +52,7 @@
             return { bottom, false };
         }
         if (!budgets.empty())
-            accrue(budgets[layer]);
+            accrue(budgets[layer], Time { 0 });
         for (int attempts = 1;; ++attempts) {
             const Answer answer = call(layer + 1, depth);
             FailedAttempt failed = failedTry(answer.code, true, attempts);
@@ -239,8 +240,7 @@
 {
     // Guards against: calls refused beside idle upstreams. A node or its upstream has died, and its record has not
     // expired yet. Nothing has run, so the request can go to another upstream at no cost.
-    RetryBudget budget;
-    budget.tokens = 0;
+    RetryBudget budget { {}, 0 };
     FailedAttempt failed;
     failed.code = Code::NoUpstream;
     failed.idempotent = false;
@@ -254,3 +254,87 @@
     failed.code = Code::NoRoute;
     CHECK_FALSE(mayRetry(budget, failed, Time { 0 }, 1).retry);
 }
+
+namespace {
+
+// Nodes that call one service with upstreams of which a share fails every request. Time advances in steps of 100 ms.
+struct Fleet {
+    int nodes = 0;
+    double perSecond = 1.5; // first attempts of each node
+    std::vector<RetryBudget> budgets;
+    std::mt19937_64 random { 11 };
+    int firstAttempts = 0; // of the last run()
+    int failures = 0; // of first attempts
+    int firstRetries = 0; // of requests whose first attempt failed
+    int retries = 0;
+
+    explicit Fleet(int count)
+        : nodes(count)
+        , budgets(static_cast<size_t>(count))
+    {
+        for (RetryBudget& it : budgets)
+            it.allowance = allowanceOf(budgets.size());
+    }
+
+    void run(Time from, Time to, double failing)
+    {
+        firstAttempts = failures = firstRetries = retries = 0;
+        std::bernoulli_distribution fails(failing);
+        std::poisson_distribution<int> arrivals(nodes * perSecond / 10);
+        for (Time now = from; now < to; now = now + Duration { 100 }) {
+            for (int n = arrivals(random); n > 0; --n)
+                request(budgets[random() % budgets.size()], now, fails);
+        }
+    }
+
+    void request(RetryBudget& budget, Time now, std::bernoulli_distribution& fails)
+    {
+        accrue(budget, now);
+        ++firstAttempts;
+        for (int attempts = 1; fails(random); ++attempts) {
+            failures += attempts == 1;
+            FailedAttempt failed = failedTry(Code::InvalidUpstreamAnswer, true, attempts);
+            failed.deadline = now + Duration { 5000 };
+            if (!mayRetry(budget, failed, now, random()).retry)
+                return;
+            ++retries;
+            firstRetries += attempts == 1;
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("retries of all nodes together stay within the service's budget, at any number of nodes", "[policy][overload]")
+{
+    // Guards against: budgets that bound each node and not the sum. All upstreams of a service begin to refuse half of their
+    // requests, and a thousand nodes spend at once what each of them has saved up.
+    constexpr double ratio = 0.2; // retries per first attempt in ten seconds
+    constexpr int fixedPart = 56; // independent of the number of nodes
+    for (const int nodes : { 9, 100, 1000, 2500 }) {
+        for (const double perSecond : { 0.05, 1.5, 12.0 }) {
+            for (const double failing : { 0.55, 1.0 }) {
+                Fleet fleet(nodes);
+                fleet.perSecond = perSecond;
+                fleet.run(Time { 1'000'000 }, Time { 1'020'000 }, 0);
+                fleet.run(Time { 1'020'000 }, Time { 1'030'000 }, failing);
+                INFO(nodes << " nodes, " << perSecond << " a second each, " << failing << " failing: " << fleet.retries << " retries of " << fleet.firstAttempts);
+                CHECK(fleet.retries <= ratio * fleet.firstAttempts + fixedPart);
+                fleet.run(Time { 1'030'000 }, Time { 1'040'000 }, failing);
+                CHECK(fleet.retries <= ratio * fleet.firstAttempts + fixedPart);
+            }
+        }
+    }
+}
+
+TEST_CASE("nodes that rarely call a service retry nearly all failures of one upstream among many", "[policy][slow-upstream]")
+{
+    // Guards against: a budget so small at each of a thousand nodes that it hides no failure at all.
+    for (const int nodes : { 9, 1000, 2500 }) {
+        Fleet fleet(nodes);
+        fleet.run(Time { 1'000'000 }, Time { 1'010'000 }, 0);
+        fleet.run(Time { 1'010'000 }, Time { 1'200'000 }, 1.0 / 775);
+        INFO(nodes << " nodes: " << fleet.firstRetries << " of " << fleet.failures);
+        CHECK(fleet.firstRetries >= 0.9 * fleet.failures);
+    }
+}
