A request that its upstream refused may return after about a usual run

Refused callers were told to return after a second, whatever the request takes, so their second try was later than the target of 800 ms: 3,855 of 38,638 late.

Change: the pause is one usual run of the route at that upstream, by which a slot is free, spread over as long again; 50 ms to 2 s.

--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -3,6 +3,7 @@
 
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
+#include "appletally/policy/retry.h"
 
 #include <algorithm>
 #include <strings.h>
@@ -294,7 +295,7 @@
     std::optional<base::Error> error = end.error;
     if (it.notRunByUpstream) {
         how = it.misdirected ? RunEnd::Cancelled : RunEnd::Shed;
-        error = it.misdirected ? base::fail(Code::NotReady, "the upstream process has been replaced by another") : base::fail(Code::Overloaded, "the upstream sheds load", Duration { 1000 });
+        error = it.misdirected ? base::fail(Code::NotReady, "the upstream process has been replaced by another") : base::fail(Code::Overloaded, "the upstream sheds load", policy::retryAfterShed(policy::usualRun(m_admission.runs, it.call.route, it.call.expected), inner::randomNumber()));
     } else if (error || it.status >= 500)
         how = RunEnd::Failed;
     record(it, how);
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -18,6 +18,9 @@
     // trip and no load that a budget has to limit.
     constexpr int maxAttemptsForRoom = 3;
 
+    constexpr base::Duration minShedPause { 50 }; // upstreams with runs of a few milliseconds need longer to recover
+    constexpr base::Duration maxShedPause { 1000 };
+
     constexpr int64_t minPauseMs = 5; // time for a fresh fault to be detected
     constexpr int64_t maxPauseMs = 50;
 
@@ -117,6 +120,12 @@
     return { true, pause, base::Code::Ok };
 }
 
+base::Duration retryAfterShed(base::Duration usualRun, uint64_t random)
+{
+    const base::Duration run = std::clamp(usualRun, minShedPause, maxShedPause);
+    return run + base::Duration { static_cast<int64_t>(random % static_cast<uint64_t>(run.ms)) };
+}
+
 bool stopsRetriesAbove(base::Code final) { return kindOf(final) != Kind::Final || final == base::Code::DeadlineTooNear; }
 
 base::Code finalCode(bool mayHaveRun, base::Code last)
--- a/src/appletally/policy/retry.h
+++ b/src/appletally/policy/retry.h
@@ -47,6 +47,10 @@
 void accrue(RetryBudget&, base::Time now); // at each first attempt
 RetryDecision mayRetry(RetryBudget&, const FailedAttempt&, base::Time now, uint64_t random);
 
+// When a caller may send a request again that its upstream refused though this node had let it in: a slot is free there after
+// about a usual run. Spread over as long again, so that callers refused together do not return together.
+base::Duration retryAfterShed(base::Duration usualRun, uint64_t random);
+
 // True: the answer to the layer above must carry the header that stops its retries. Only the layer next to a failure
 // retries; also if its budget is spent, since a full budget further up would only bypass it.
 bool stopsRetriesAbove(base::Code final);
--- a/tests/retry_test.cpp
+++ b/tests/retry_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <functional>
 #include <random>
 
 using namespace appletally;
@@ -338,3 +339,42 @@
         CHECK(fleet.firstRetries >= 0.9 * fleet.failures);
     }
 }
+
+TEST_CASE("a caller refused by its upstream returns while its target latency can still be met", "[policy][overload]")
+{
+    // Guards against: a fixed pause of a second before each return. The upstreams of a service refuse half of what reaches
+    // them though they have room, and callers that could be answered within the target on their second try come late.
+    constexpr Duration target { 800 };
+    constexpr Duration run { 220 };
+    constexpr Duration refusal { 20 }; // from sending to a refusal
+    const auto inTime = [&](const std::function<Duration(uint64_t)>& pause) {
+        std::mt19937_64 random { 7 };
+        std::bernoulli_distribution refused(0.55);
+        int count = 0;
+        for (int n = 0; n < 10'000; ++n) {
+            Duration at {};
+            bool served = !refused(random);
+            for (int returns = 0; !served && returns < 2; ++returns) {
+                at = at + refusal + pause(random());
+                served = !refused(random);
+            }
+            count += served && at + run <= target;
+        }
+        return count / 10'000.0;
+    };
+    CHECK(inTime([](uint64_t) { return Duration { 1000 }; }) <= 0.5);
+    CHECK(inTime([&](uint64_t random) { return retryAfterShed(run, random); }) >= 0.65);
+
+    Duration shortest { 10'000 };
+    Duration longest {};
+    std::mt19937_64 random { 7 };
+    for (int n = 0; n < 1000; ++n) {
+        const Duration it = retryAfterShed(run, random());
+        shortest = std::min(shortest, it);
+        longest = std::max(longest, it);
+    }
+    CHECK(shortest >= run);
+    CHECK(longest - shortest >= run / 10 * 9);
+    CHECK(retryAfterShed(Duration { 1 }, 0) >= Duration { 50 });
+    CHECK(retryAfterShed(Duration { 60'000 }, 0) <= Duration { 1000 });
+}
