Links between nodes that meet rarely end after seconds

Cause: a node of the fleet calls one of 985 others 1.9 times a second and kept each link for a minute: up to 110 out and 110 in, with heartbeats from both ends each 0.4 s, each answered. Two nodes meet every 500 s.

Change: a link earns 3 s of idle time by each use, up to a minute; heartbeats are not answered, since both sides send them.

--- a/src/appletally/inner/link.capnp
+++ b/src/appletally/inner/link.capnp
@@ -12,7 +12,7 @@
     proven @2 :Data;       # dialing side's proof
     admitted @3 :Void;     # from the accepting side: calls may be sent
     ping @4 :UInt64;
-    pong @5 :UInt64;
+    pong @5 :UInt64;       # no longer sent; ignored
     call @6 :Call;
     cancel @7 :UInt64;     # call id: the caller disconnected or its deadline has passed
     answerHead @8 :AnswerHead;
--- a/src/appletally/inner/node_link.cpp
+++ b/src/appletally/inner/node_link.cpp
@@ -172,12 +172,8 @@
 void NodeLink::onMessage(wire::LinkMessage::Reader message)
 {
     if (m_stage == Stage::Up) {
-        if (message.isPing()) {
-            capnp::MallocMessageBuilder answer;
-            answer.initRoot<wire::LinkMessage>().setPong(message.getPing());
-            return send(answer);
-        }
-        if (!message.isPong())
+        // Not answered: both sides send heartbeats.
+        if (!message.isPing() && !message.isPong())
             m_handler.message(*this, message);
         return;
     }
--- a/src/appletally/node/peers.cpp
+++ b/src/appletally/node/peers.cpp
@@ -5,6 +5,7 @@
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 #include "appletally/node/wire.h"
+#include "appletally/policy/link_keeping.h"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -17,7 +18,6 @@
 
 constexpr Duration suspicionCheckInterval { 100 };
 constexpr Duration idleLinkCheckInterval { 1000 };
-constexpr Duration idleLinkTimeout { 60000 }; // an unused link still costs heartbeats and memory
 constexpr size_t maxPendingClaims = 10000; // per link; exceeded only in case of a fault
 
 struct Peers::Link {
@@ -27,6 +27,7 @@
     std::vector<std::function<void()>> waiting; // sent once the link is up
     std::map<uint64_t, OnClaimAnswer> claims;
     size_t calls = 0;
+    uint64_t uses = 0; // calls and claim messages
     base::Time lastUsed;
     base::Time dialedAt;
 };
@@ -87,6 +88,7 @@
     pending->handler = std::move(handler);
     Link& link = *pending->link;
     ++link.calls;
+    ++link.uses;
     link.lastUsed = base::steadyNow();
     m_calls[id] = std::move(pending);
     const auto write = [this, id](const Call& it) {
@@ -242,6 +244,7 @@
 void Peers::sendClaimMessage(const base::HostId& host, const base::Address& address, const std::string& body, OnClaimAnswer answer)
 {
     const auto it = linkTo(host, address, true);
+    ++it->uses;
     it->lastUsed = base::steadyNow();
     if (it->claims.size() >= maxPendingClaims)
         return answer({});
@@ -294,7 +297,7 @@
         const auto current = m_current.find(it->host);
         const bool replaced = current == m_current.end() || current->second != it;
         const bool unused = it->calls == 0 && it->claims.empty();
-        if (unused && (replaced || now - it->lastUsed > idleLinkTimeout))
+        if (unused && (replaced || now - it->lastUsed > policy::linkIdleTime(it->uses)))
             it->link->fail(base::fail(Code::PeerGone, "no longer used"));
     }
 }
