--- a/src/appletally/control/distributor.cpp
+++ b/src/appletally/control/distributor.cpp
@@ -25,6 +25,9 @@
     // reachable. Each search costs a reconnect.
     constexpr base::Duration switchRequestInterval { 5'000 };
 
+    // Longer than a connect over a congested link.
+    constexpr base::Duration handoverTimeout { 3000 };
+
     // The first change after an idle period is sent at once; further ones are batched for this time. A draining or broken
     // upstream is noticed at once from its own answers; through control it only has to be known well within two seconds,
     // and larger batches compress better.
@@ -107,6 +110,7 @@
     if (it == m_subscribers.end())
         return;
     finishStart(it->second);
+    m_movingCount -= it->second.moving;
     m_subscribers.erase(it);
 }
 
@@ -138,6 +142,36 @@
     m_tasks.add(m_timer.afterDelay(switchRequestInterval.ms * kj::MILLISECONDS).then([this] { requestSourceSwitch(); }));
 }
 
+std::vector<policy::SubscriberPlace> Distributor::movableSubscribers() const
+{
+    std::vector<policy::SubscriberPlace> out;
+    for (const auto& [id, it] : m_subscribers) {
+        if (it.starting || it.moving)
+            continue;
+        const auto known = m_endpoints.entries.find(it.host);
+        out.push_back({ id, known == m_endpoints.entries.end() ? base::ZoneName {} : known->second.endpoint.zone });
+    }
+    return out;
+}
+
+void Distributor::handOver(uint64_t subscriber, const base::Address& to)
+{
+    const auto found = m_subscribers.find(subscriber);
+    if (found == m_subscribers.end() || std::exchange(found->second.moving, true))
+        return;
+    ++m_movingCount;
+    ++m_counters.handovers;
+    auto request = found->second.feed.moveToRequest();
+    request.setAddress(to.text());
+    m_tasks.add(request.send().ignoreResult());
+    // It is still here if the other source could not be reached, or rejected it.
+    m_tasks.add(m_timer.afterDelay(handoverTimeout.ms * kj::MILLISECONDS).then([this, subscriber] {
+        const auto it = m_subscribers.find(subscriber);
+        if (it != m_subscribers.end() && std::exchange(it->second.moving, false))
+            --m_movingCount;
+    }));
+}
+
 void Distributor::setSources(std::vector<std::string> sources)
 {
     if (sources == m_sources)
@@ -288,6 +322,7 @@
         return;
     ++m_counters.endpointMessages;
     m_counters.endpointRecords += next.records;
+    m_counters.endpointBytes += next.bytes.size();
     auto request = it.feed.endpointsRequest();
     auto out = request.initDelta();
     inner::write(out.initFrom(), next.delta.from);
@@ -313,7 +348,7 @@
     return { { "version", m_content ? m_content->version.value : 0 }, { "subscribers", m_subscribers.size() }, { "starting", m_startingCount }, { "isolated", m_isolated },
         { "endpoints", m_endpoints.entries.size() }, { "subscribed", m_counters.subscribed }, { "came_back_later", m_counters.rejectedSubscriptions },
         { "whole_sent", m_counters.snapshotsSent }, { "deltas_sent", m_counters.deltasSent }, { "content_bytes", m_counters.contentBytes },
-        { "endpoint_messages", m_counters.endpointMessages }, { "endpoint_records", m_counters.endpointRecords } };
+        { "endpoint_messages", m_counters.endpointMessages }, { "endpoint_records", m_counters.endpointRecords }, { "handovers", m_counters.handovers } };
 }
 
 } // namespace appletally::control
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -11,6 +11,7 @@
 #include "appletally/inner/content.h"
 #include "appletally/inner/control.capnp.h"
 #include "appletally/policy/reconnect.h"
+#include "appletally/policy/source_balance.h"
 
 #include <kj/async-io.h>
 #include <kj/time.h>
@@ -36,6 +37,8 @@
     uint64_t contentBytes = 0;
     uint64_t endpointMessages = 0;
     uint64_t endpointRecords = 0;
+    uint64_t endpointBytes = 0;
+    uint64_t handovers = 0; // subscribers that were asked to move to another source
 };
 
 class Distributor;
@@ -70,12 +73,18 @@
     // and reconnects at its assigned time is admitted.
     void setIsolated(bool);
 
+    std::vector<policy::SubscriberPlace> movableSubscribers() const; // those that are not starting or moving
+    void handOver(uint64_t subscriber, const base::Address& to); // asks it to switch to that source
+
     void setSources(std::vector<std::string>); // addresses of all sources, sent to the subscribers
     void contentReleased(std::shared_ptr<const config::Snapshot>);
     void endpointsChanged();
 
     const std::shared_ptr<const config::Snapshot>& content() const { return m_content; } // null: none yet
     size_t subscribers() const { return m_subscribers.size(); }
+    size_t lastingSubscribers() const { return m_subscribers.size() - m_movingCount; } // without those that are moving away
+    bool full() const { return m_subscribers.size() >= m_limits.maxSubscribers; }
+    const DistributorCounters& counters() const { return m_counters; }
     bool isolated() const { return m_isolated; }
     nlohmann::json toJson() const;
 
@@ -89,6 +98,7 @@
         bool contentBusy = false;
         bool endpointsBusy = false;
         bool starting = true; // until it confirms its first content
+        bool moving = false; // was asked to switch to another source
     };
 
     void taskFailed(kj::Exception&&) override;
@@ -109,6 +119,7 @@
     std::map<uint64_t, Subscriber> m_subscribers;
     uint64_t m_nextId = 1;
     size_t m_startingCount = 0;
+    size_t m_movingCount = 0;
 
     std::shared_ptr<const config::Snapshot> m_content;
     std::map<base::ConfigVersion, std::shared_ptr<const config::Snapshot>> m_recentContent; // base versions for deltas
--- a/src/appletally/control/housekeeping.cpp
+++ b/src/appletally/control/housekeeping.cpp
@@ -31,6 +31,7 @@
         reopenDisk();
         addMemberPeers();
         updateIsolation();
+        shareSubscribers();
         if (m_leading) {
             addNewVoters();
             removeLostVoters();
@@ -53,6 +54,32 @@
     m_distributor.setIsolated(now - m_lastConnectedAt >= isolationTimeout);
 }
 
+// With a fixed list of control processes, voters are sources only in a mesh without relays.
+bool ControlProcess::isSource() const
+{
+    return discoversPeers() || m_settings.relays.empty() || m_settings.role == ProcessRole::Relay;
+}
+
+void ControlProcess::shareSubscribers()
+{
+    const bool accepts = isSource() && knowsMembers() && m_distributor.content() && !m_distributor.isolated() && !m_distributor.full();
+    const SourceStatus own { { m_settings.membership.host, m_settings.zone, m_distributor.lastingSubscribers() }, accepts };
+    std::vector<policy::SourceLoad> others;
+    std::map<base::HostId, base::Address> addresses;
+    for (const auto& it : m_peers) {
+        it->sendSourceLoad(own);
+        const auto status = m_sourceStatus.find(it->host());
+        if (!it->up() || status == m_sourceStatus.end() || !status->second.accepts)
+            continue;
+        others.push_back(status->second.load);
+        addresses[it->host()] = it->address();
+    }
+    if (!isSource() || m_distributor.isolated()) // an isolated source asks all of its subscribers to leave
+        return;
+    for (const policy::Handover& it : policy::chooseHandovers(own.load, others, m_distributor.movableSubscribers(), inner::randomNumber()))
+        m_distributor.handOver(it.subscriber, addresses.at(it.to));
+}
+
 bool ControlProcess::reachesMostControlProcesses() const
 {
     const auto up = std::count_if(m_peers.begin(), m_peers.end(), [](const auto& it) { return it->up(); });
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -70,6 +70,11 @@
     add("appletally_known_upstreams", "state=\"any\"", m_endpoints.entries.size());
     add("appletally_answered_before_all_total", "", m_appliedTimeouts);
     add("appletally_subscribers", "", m_distributor.subscribers());
+    add("appletally_source_handovers_total", "", m_distributor.counters().handovers);
+    add("appletally_source_sent_total", "what=\"content\"", m_distributor.counters().snapshotsSent + m_distributor.counters().deltasSent);
+    add("appletally_source_sent_total", "what=\"endpoints\"", m_distributor.counters().endpointMessages);
+    add("appletally_source_sent_bytes_total", "what=\"content\"", m_distributor.counters().contentBytes);
+    add("appletally_source_sent_bytes_total", "what=\"endpoints\"", m_distributor.counters().endpointBytes);
     add("appletally_source_isolated", "", m_distributor.isolated() ? 1 : 0);
     writeServiceMetrics(out, m_state.snapshot, config::readyUpstreams(m_endpoints));
     add("appletally_evacuated_zones", "", m_state.snapshot.evacuatedZones.size());
--- a/src/appletally/control/peer_link.cpp
+++ b/src/appletally/control/peer_link.cpp
@@ -84,6 +84,7 @@
     m_inFlightMessages = 0;
     m_inFlightBytes = 0;
     m_sendingReport = false;
+    m_sentStatus.reset();
     m_pending = {};
     m_tasks = kj::heap<kj::TaskSet>(*this);
     m_session = nullptr;
@@ -115,6 +116,19 @@
     sendPendingReports();
 }
 
+void PeerLink::sendSourceLoad(const SourceStatus& status)
+{
+    const bool sent = m_sentStatus && m_sentStatus->load.subscribers == status.load.subscribers && m_sentStatus->accepts == status.accepts;
+    if (!m_ready || sent)
+        return;
+    m_sentStatus = status;
+    auto request = m_session.sourceLoadRequest();
+    request.setSubscribers(static_cast<uint32_t>(status.load.subscribers));
+    request.setZone(status.load.zone.text);
+    request.setAccepts(status.accepts);
+    m_tasks->add(request.send().ignoreResult());
+}
+
 void PeerLink::sendPendingReports()
 {
     if (m_sendingReport || m_pending.empty())
--- a/src/appletally/control/peer_link.h
+++ b/src/appletally/control/peer_link.h
@@ -9,6 +9,7 @@
 #include "appletally/control/settings.h"
 #include "appletally/inner/rpc_link.h"
 #include "appletally/policy/reconnect.h"
+#include "appletally/policy/source_balance.h"
 
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -34,6 +35,12 @@
     std::function<PendingReport()> ownReports; // sent to a peer when its link comes up
 };
 
+// A control process as a source of configuration.
+struct SourceStatus {
+    policy::SourceLoad load;
+    bool accepts = false; // takes further subscribers now
+};
+
 class PeerLink : public kj::TaskSet::ErrorHandler {
 public:
     PeerLink(kj::AsyncIoContext&, const inner::Membership&, ControlPeer, PeerHooks);
@@ -45,6 +52,10 @@
     void sendConsensus(const consensus::Message&); // dropped if the link is down or too many are in flight
     void queueReport(const inner::NodeReport&);
 
+    // What the peer knows of this process as a source; sent only after a change.
+    void sendSourceLoad(const SourceStatus&);
+    const base::Address& address() const { return m_peer.address; }
+
     // These promises are rejected when the link ends.
     kj::Promise<RecordedAnswer> requestRecordedCommit();
     kj::Promise<base::Result<base::ConfigVersion>> requestReleasedVersion(base::LogIndex);
@@ -75,6 +86,7 @@
     uint64_t m_droppedMessages = 0; // consensus messages
     PendingReport m_pending;
     bool m_sendingReport = false;
+    std::optional<SourceStatus> m_sentStatus; // last one sent on the current link
     kj::Own<kj::TaskSet> m_tasks; // of the current link
     kj::Promise<void> m_running = nullptr;
 };
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -380,6 +380,8 @@
 
 void ControlProcess::onPeerReport(const inner::NodeReport& report) { applyReport(report); }
 
+void ControlProcess::onSourceStatus(const SourceStatus& status) { m_sourceStatus[status.load.source] = status; }
+
 // Peers need a record only if it is new; otherwise a renewal is enough, at a fifth of the size.
 inner::NodeReport ControlProcess::reportForPeers(const inner::NodeReport& report) const
 {
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -39,6 +39,7 @@
     bool knowsMembers() const; // false: this replica has not been added to the log yet and has nothing to distribute
     void onNodeReport(const inner::NodeReport&); // from a node linked to this process
     void onPeerReport(const inner::NodeReport&); // from another control process
+    void onSourceStatus(const SourceStatus&); // of another control process
     kj::Promise<base::Result<base::ConfigVersion>> minBootVersion();
     kj::Promise<base::Result<base::ConfigVersion>> waitForRelease(base::LogIndex); // resolves once it is; NoQuorum after a timeout
     void onConsensusMessage(consensus::Message);
@@ -122,6 +123,8 @@
     // Periodic work
     kj::Promise<void> housekeeping();
     void updateIsolation();
+    bool isSource() const; // nodes get their configuration from this process
+    void shareSubscribers();
     bool reachesMostControlProcesses() const;
     bool reachesMajority() const;
     void expireRecords();
@@ -173,6 +176,7 @@
     PendingReport m_localReports; // reports of the nodes linked to this process; sent to newly linked peers
     PendingReport m_allEvidence; // evidence of all nodes
     Distributor m_distributor;
+    std::map<base::HostId, SourceStatus> m_sourceStatus; // of other control processes; valid while they are linked
 
     std::vector<std::unique_ptr<PeerLink>> m_peers;
     std::unique_ptr<BootReads> m_bootReads;
--- a/src/appletally/control/sessions.cpp
+++ b/src/appletally/control/sessions.cpp
@@ -123,6 +123,13 @@
             return kj::READY_NOW;
         }
 
+        kj::Promise<void> sourceLoad(SourceLoadContext context) override
+        {
+            auto params = context.getParams();
+            m_process.onSourceStatus({ { m_host, { inner::text(params.getZone()) }, params.getSubscribers() }, params.getAccepts() });
+            return kj::READY_NOW;
+        }
+
         kj::Promise<void> forward(ForwardContext context) override
         {
             return m_process.submitChange(inner::bytes(context.getParams().getCommand()), true).then([context](const ChangeResult& answer) mutable {
--- a/src/appletally/inner/control.capnp
+++ b/src/appletally/inner/control.capnp
@@ -118,6 +118,7 @@
   endpoints @1 (delta :EndpointsDelta) -> (cursor :Cursor);          # cursor: the subscriber's new read position
   leave @2 (comeBackMs :UInt32) -> ();                               # the source is isolated from the other control processes: switch to another source
   sources @3 (addresses :List(Text)) -> ();                          # further sources of content, added to those of the settings
+  moveTo @4 (address :Text) -> ();                                   # the source has more than its part of the subscribers: switch to this one if it can be reached
 }
 
 interface Source extends(Session) {
@@ -138,6 +139,7 @@
   released @2 (index :UInt64) -> (failure :Failure, version :UInt64);
   share @3 (report :Report) -> ();                   # reports of nodes to the calling process; not forwarded again
   forward @4 (command :Data) -> (failure :Failure, version :UInt64, text :Text); # an operator's change, forwarded to the leader
+  sourceLoad @5 (subscribers :UInt32, zone :Text, accepts :Bool) -> ();          # of the calling process, as a source; accepts: takes further subscribers now
 }
 
 interface Operator extends(Session) {
--- a/src/appletally/inner/control.capnp.c++
+++ b/src/appletally/inner/control.capnp.c++
@@ -1618,7 +1618,7 @@
   0, 3, i_fb716d1895af215c, nullptr, nullptr, { &s_fb716d1895af215c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<59> b_a8b455847b6ac3c3 = {
+static const ::capnp::_::AlignedData<69> b_a8b455847b6ac3c3 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     195, 195, 106, 123, 132,  85, 180, 168,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -1628,46 +1628,54 @@
      21,   0,   0,   0, 154,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,   7,   1,   0,   0,
-    189,   0,   0,   0,   7,   0,   0,   0,
+     25,   0,   0,   0,  71,   1,   0,   0,
+    229,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  70, 101,
     101, 100,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     240,  49, 100, 193,  34,  85,  81, 183,
       3, 179, 166, 176,  56,  22, 193, 147,
-    113,   0,   0,   0,  66,   0,   0,   0,
+    145,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    101,   0,   0,   0,   7,   0,   0,   0,
+    133,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
      13, 227, 134, 122, 137,  89,  27, 151,
     177,  56,  28, 158, 122, 187, 146, 227,
-     89,   0,   0,   0,  82,   0,   0,   0,
+    121,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
       8,  57, 189, 168, 198, 172,  90, 202,
     152, 234, 240,  76, 251,  95, 190, 172,
-     69,   0,   0,   0,  50,   0,   0,   0,
+    101,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     57,   0,   0,   0,   7,   0,   0,   0,
+     89,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     102,   6,  36, 125, 253, 146,  11, 182,
      91, 121, 174,  84, 202,  94,  27, 140,
-     45,   0,   0,   0,  66,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0,   7,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     56,  79, 184, 192,  11,  34,  50, 243,
+    123, 163,  71, 253, 136,   6, 158, 202,
+     53,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,   7,   0,   0,   0,
      99, 111, 110, 116, 101, 110, 116,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     101, 110, 100, 112, 111, 105, 110, 116,
@@ -1677,6 +1685,8 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     115, 111, 117, 114,  99, 101, 115,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    109, 111, 118, 101,  84, 111,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       0,   0,   0,   0,   1,   0,   1,   0, }
 };
 ::capnp::word const* const bp_a8b455847b6ac3c3 = b_a8b455847b6ac3c3.words;
@@ -1689,12 +1699,14 @@
   &s_b60b92fd7d240666,
   &s_b7515522c16431f0,
   &s_ca5aacc6a8bd3908,
+  &s_ca9e0688fd47a37b,
   &s_e392bb7a9e1c38b1,
+  &s_f332220bc0b84f38,
 };
-static const uint16_t m_a8b455847b6ac3c3[] = {0, 1, 2, 3};
+static const uint16_t m_a8b455847b6ac3c3[] = {0, 1, 2, 4, 3};
 const ::capnp::_::RawSchema s_a8b455847b6ac3c3 = {
-  0xa8b455847b6ac3c3, b_a8b455847b6ac3c3.words, 59, d_a8b455847b6ac3c3, m_a8b455847b6ac3c3,
-  8, 4, nullptr, nullptr, nullptr, { &s_a8b455847b6ac3c3, nullptr, nullptr, 0, 0, nullptr }
+  0xa8b455847b6ac3c3, b_a8b455847b6ac3c3.words, 69, d_a8b455847b6ac3c3, m_a8b455847b6ac3c3,
+  10, 5, nullptr, nullptr, nullptr, { &s_a8b455847b6ac3c3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_b7515522c16431f0 = {
@@ -2027,6 +2039,76 @@
   0, 0, nullptr, nullptr, nullptr, { &s_8c1b5eca54ae795b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_f332220bc0b84f38 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     56,  79, 184, 192,  11,  34,  50, 243,
+     19,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  10,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  70, 101,
+    101, 100,  46, 109, 111, 118, 101,  84,
+    111,  36,  80,  97, 114,  97, 109, 115,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_f332220bc0b84f38 = b_f332220bc0b84f38.words;
+#if !CAPNP_LITE
+static const uint16_t m_f332220bc0b84f38[] = {0};
+static const uint16_t i_f332220bc0b84f38[] = {0};
+const ::capnp::_::RawSchema s_f332220bc0b84f38 = {
+  0xf332220bc0b84f38, b_f332220bc0b84f38.words, 33, nullptr, m_f332220bc0b84f38,
+  0, 1, i_f332220bc0b84f38, nullptr, nullptr, { &s_f332220bc0b84f38, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_ca9e0688fd47a37b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    123, 163,  71, 253, 136,   6, 158, 202,
+     19,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  18,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  70, 101,
+    101, 100,  46, 109, 111, 118, 101,  84,
+    111,  36,  82, 101, 115, 117, 108, 116,
+    115,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_ca9e0688fd47a37b = b_ca9e0688fd47a37b.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_ca9e0688fd47a37b = {
+  0xca9e0688fd47a37b, b_ca9e0688fd47a37b.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_ca9e0688fd47a37b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<52> b_d048cece002b6069 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     105,  96,  43,   0, 206, 206,  72, 208,
@@ -2400,7 +2482,7 @@
   1, 2, i_a481ed36c0d73213, nullptr, nullptr, { &s_a481ed36c0d73213, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<73> b_ddcab9e45d00f482 = {
+static const ::capnp::_::AlignedData<84> b_ddcab9e45d00f482 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     130, 244,   0,  93, 228, 185, 202, 221,
      14,   0,   0,   0,   3,   0,   0,   0,
@@ -2410,54 +2492,62 @@
      21,   0,   0,   0, 154,   0,   0,   0,
      29,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   1,   0,   0,
-    237,   0,   0,   0,  23,   0,   0,   0,
+     25,   0,   0,   0, 135,   1,   0,   0,
+     25,   1,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      99, 111, 110, 116, 114, 111, 108,  46,
      99,  97, 112, 110, 112,  58,  80, 101,
     101, 114,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     20,   0,   0,   0,   3,   0,   5,   0,
+     24,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     117,  17,  19,  46, 190,  34,  17, 251,
      90, 188, 185,   3,   7, 233,  75, 143,
-    145,   0,   0,   0,  82,   0,   0,   0,
+    177,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,   7,   0,   0,   0,
+    169,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     138, 176, 109,   3,  41,  24,  82, 178,
     170,  10,  14, 253, 153, 219, 160, 236,
-    125,   0,   0,   0,  74,   0,   0,   0,
+    157,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,   7,   0,   0,   0,
+    149,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
     181,  37,  26, 178, 217, 248,   8, 182,
     206,  72, 107,  20, 187,  67,  72, 231,
-    105,   0,   0,   0,  74,   0,   0,   0,
+    137,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     97,   0,   0,   0,   7,   0,   0,   0,
+    129,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
      48,  85,  81,  37, 100, 131, 157, 140,
     119, 107,  87,  84, 251, 115,  22, 247,
-     85,   0,   0,   0,  50,   0,   0,   0,
+    117,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
       4,   0,   0,   0,   0,   0,   0,   0,
     159, 103,  43,   4,   9,  23, 231, 202,
     134,  16, 117,  64, 240, 205, 195, 140,
-     61,   0,   0,   0,  66,   0,   0,   0,
+     93,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,   7,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
+      5,   0,   0,   0,   0,   0,   0,   0,
+    141,  67, 232,  40, 223,  15, 254, 167,
+    157, 104,  74,  48,  91, 200, 206, 163,
+     69,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
      99, 111, 110, 115, 101, 110, 115, 117,
     115,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2471,6 +2561,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     102, 111, 114, 119,  97, 114, 100,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    115, 111, 117, 114,  99, 101,  76, 111,
+     97, 100,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   1,   0,
     105,  96,  43,   0, 206, 206,  72, 208,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -2481,6 +2574,8 @@
   &s_8c9d836425515530,
   &s_8cc3cdf040751086,
   &s_8f4be90703b9bc5a,
+  &s_a3cec85b304a689d,
+  &s_a7fe0fdf28e8438d,
   &s_b2521829036db08a,
   &s_b608f8d9b21a25b5,
   &s_cae71709042b679f,
@@ -2490,10 +2585,10 @@
   &s_f71673fb54576b77,
   &s_fb1122be2e131175,
 };
-static const uint16_t m_ddcab9e45d00f482[] = {0, 4, 1, 2, 3};
+static const uint16_t m_ddcab9e45d00f482[] = {0, 4, 1, 2, 3, 5};
 const ::capnp::_::RawSchema s_ddcab9e45d00f482 = {
-  0xddcab9e45d00f482, b_ddcab9e45d00f482.words, 73, d_ddcab9e45d00f482, m_ddcab9e45d00f482,
-  11, 5, nullptr, nullptr, nullptr, { &s_ddcab9e45d00f482, nullptr, nullptr, 0, 0, nullptr }
+  0xddcab9e45d00f482, b_ddcab9e45d00f482.words, 84, d_ddcab9e45d00f482, m_ddcab9e45d00f482,
+  13, 6, nullptr, nullptr, nullptr, { &s_ddcab9e45d00f482, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<33> b_fb1122be2e131175 = {
@@ -2968,6 +3063,107 @@
   1, 3, i_8cc3cdf040751086, nullptr, nullptr, { &s_8cc3cdf040751086, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<64> b_a7fe0fdf28e8438d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    141,  67, 232,  40, 223,  15, 254, 167,
+     19,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    101, 114,  46, 115, 111, 117, 114,  99,
+    101,  76, 111,  97, 100,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  98,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,  32,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     81,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76,   0,   0,   0,   3,   0,   1,   0,
+     88,   0,   0,   0,   2,   0,   1,   0,
+    115, 117,  98, 115,  99, 114, 105,  98,
+    101, 114, 115,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    122, 111, 110, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  99, 101, 112, 116, 115,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_a7fe0fdf28e8438d = b_a7fe0fdf28e8438d.words;
+#if !CAPNP_LITE
+static const uint16_t m_a7fe0fdf28e8438d[] = {2, 0, 1};
+static const uint16_t i_a7fe0fdf28e8438d[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_a7fe0fdf28e8438d = {
+  0xa7fe0fdf28e8438d, b_a7fe0fdf28e8438d.words, 64, nullptr, m_a7fe0fdf28e8438d,
+  0, 3, i_a7fe0fdf28e8438d, nullptr, nullptr, { &s_a7fe0fdf28e8438d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<17> b_a3cec85b304a689d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    157, 104,  74,  48,  91, 200, 206, 163,
+     19,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     99, 111, 110, 116, 114, 111, 108,  46,
+     99,  97, 112, 110, 112,  58,  80, 101,
+    101, 114,  46, 115, 111, 117, 114,  99,
+    101,  76, 111,  97, 100,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0, }
+};
+::capnp::word const* const bp_a3cec85b304a689d = b_a3cec85b304a689d.words;
+#if !CAPNP_LITE
+const ::capnp::_::RawSchema s_a3cec85b304a689d = {
+  0xa3cec85b304a689d, b_a3cec85b304a689d.words, 17, nullptr, nullptr,
+  0, 0, nullptr, nullptr, nullptr, { &s_a3cec85b304a689d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<51> b_9df017c2b5fc7709 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
       9, 119, 252, 181, 194,  23, 240, 157,
@@ -3683,6 +3879,16 @@
       "control.capnp:Feed", "sources",
       0xa8b455847b6ac3c3ull, 3);
 }
+::capnp::Request< ::appletally::inner::rpc::Feed::MoveToParams,  ::appletally::inner::rpc::Feed::MoveToResults>
+Feed::Client::moveToRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::appletally::inner::rpc::Feed::MoveToParams,  ::appletally::inner::rpc::Feed::MoveToResults>(
+      0xa8b455847b6ac3c3ull, 4, sizeHint);
+}
+::kj::Promise<void> Feed::Server::moveTo(MoveToContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Feed", "moveTo",
+      0xa8b455847b6ac3c3ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Feed::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3721,6 +3927,12 @@
              ::appletally::inner::rpc::Feed::SourcesParams,  ::appletally::inner::rpc::Feed::SourcesResults>(context)),
         false
       };
+    case 4:
+      return {
+        moveTo(::capnp::Capability::Server::internalGetTypedContext<
+             ::appletally::inner::rpc::Feed::MoveToParams,  ::appletally::inner::rpc::Feed::MoveToResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3800,6 +4012,22 @@
 constexpr ::capnp::_::RawSchema const* Feed::SourcesResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Feed::MoveToParams
+constexpr uint16_t Feed::MoveToParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Feed::MoveToParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Feed::MoveToParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Feed::MoveToParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Feed::MoveToResults
+constexpr uint16_t Feed::MoveToResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Feed::MoveToResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Feed::MoveToResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Feed::MoveToResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::appletally::inner::rpc::Source::SubscribeParams,  ::appletally::inner::rpc::Source::SubscribeResults>
 Source::Client::subscribeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -3981,6 +4209,16 @@
       "control.capnp:Peer", "forward",
       0xddcab9e45d00f482ull, 4);
 }
+::capnp::Request< ::appletally::inner::rpc::Peer::SourceLoadParams,  ::appletally::inner::rpc::Peer::SourceLoadResults>
+Peer::Client::sourceLoadRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::appletally::inner::rpc::Peer::SourceLoadParams,  ::appletally::inner::rpc::Peer::SourceLoadResults>(
+      0xddcab9e45d00f482ull, 5, sizeHint);
+}
+::kj::Promise<void> Peer::Server::sourceLoad(SourceLoadContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "control.capnp:Peer", "sourceLoad",
+      0xddcab9e45d00f482ull, 5);
+}
 ::capnp::Capability::Server::DispatchCallResult Peer::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -4031,6 +4269,12 @@
              ::appletally::inner::rpc::Peer::ForwardParams,  ::appletally::inner::rpc::Peer::ForwardResults>(context)),
         false
       };
+    case 5:
+      return {
+        sourceLoad(::capnp::Capability::Server::internalGetTypedContext<
+             ::appletally::inner::rpc::Peer::SourceLoadParams,  ::appletally::inner::rpc::Peer::SourceLoadResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -4126,6 +4370,22 @@
 constexpr ::capnp::_::RawSchema const* Peer::ForwardResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Peer::SourceLoadParams
+constexpr uint16_t Peer::SourceLoadParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SourceLoadParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SourceLoadParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SourceLoadParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Peer::SourceLoadResults
+constexpr uint16_t Peer::SourceLoadResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Peer::SourceLoadResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Peer::SourceLoadResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Peer::SourceLoadResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::appletally::inner::rpc::Operator::ChangeParams,  ::appletally::inner::rpc::Operator::ChangeResults>
 Operator::Client::changeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
--- a/src/appletally/inner/control.capnp.h
+++ b/src/appletally/inner/control.capnp.h
@@ -53,6 +53,8 @@
 CAPNP_DECLARE_SCHEMA(acbe5ffb4cf0ea98);
 CAPNP_DECLARE_SCHEMA(b60b92fd7d240666);
 CAPNP_DECLARE_SCHEMA(8c1b5eca54ae795b);
+CAPNP_DECLARE_SCHEMA(f332220bc0b84f38);
+CAPNP_DECLARE_SCHEMA(ca9e0688fd47a37b);
 CAPNP_DECLARE_SCHEMA(d048cece002b6069);
 CAPNP_DECLARE_SCHEMA(8286d62ab5687eb8);
 CAPNP_DECLARE_SCHEMA(c95fee4b8334df5c);
@@ -71,6 +73,8 @@
 CAPNP_DECLARE_SCHEMA(f71673fb54576b77);
 CAPNP_DECLARE_SCHEMA(cae71709042b679f);
 CAPNP_DECLARE_SCHEMA(8cc3cdf040751086);
+CAPNP_DECLARE_SCHEMA(a7fe0fdf28e8438d);
+CAPNP_DECLARE_SCHEMA(a3cec85b304a689d);
 CAPNP_DECLARE_SCHEMA(9df017c2b5fc7709);
 CAPNP_DECLARE_SCHEMA(c091f1c55fb9da19);
 CAPNP_DECLARE_SCHEMA(f88e504a087b92a3);
@@ -386,6 +390,8 @@
   struct LeaveResults;
   struct SourcesParams;
   struct SourcesResults;
+  struct MoveToParams;
+  struct MoveToResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -515,6 +521,36 @@
   };
 };
 
+struct Feed::MoveToParams {
+  MoveToParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f332220bc0b84f38, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Feed::MoveToResults {
+  MoveToResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca9e0688fd47a37b, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Source {
   Source() = delete;
 
@@ -646,6 +682,8 @@
   struct ShareResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct SourceLoadParams;
+  struct SourceLoadResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -805,6 +843,36 @@
   };
 };
 
+struct Peer::SourceLoadParams {
+  SourceLoadParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a7fe0fdf28e8438d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Peer::SourceLoadResults {
+  SourceLoadResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3cec85b304a689d, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Operator {
   Operator() = delete;
 
@@ -2679,6 +2747,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::appletally::inner::rpc::Feed::SourcesParams,  ::appletally::inner::rpc::Feed::SourcesResults> sourcesRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::appletally::inner::rpc::Feed::MoveToParams,  ::appletally::inner::rpc::Feed::MoveToResults> moveToRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2711,6 +2781,10 @@
   typedef  ::appletally::inner::rpc::Feed::SourcesResults SourcesResults;
   typedef ::capnp::CallContext<SourcesParams, SourcesResults> SourcesContext;
   virtual ::kj::Promise<void> sources(SourcesContext context);
+  typedef  ::appletally::inner::rpc::Feed::MoveToParams MoveToParams;
+  typedef  ::appletally::inner::rpc::Feed::MoveToResults MoveToResults;
+  typedef ::capnp::CallContext<MoveToParams, MoveToResults> MoveToContext;
+  virtual ::kj::Promise<void> moveTo(MoveToContext context);
 
   inline  ::appletally::inner::rpc::Feed::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3345,6 +3419,158 @@
 };
 #endif  // !CAPNP_LITE
 
+class Feed::MoveToParams::Reader {
+public:
+  typedef MoveToParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Feed::MoveToParams::Builder {
+public:
+  typedef MoveToParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Feed::MoveToParams::Pipeline {
+public:
+  typedef MoveToParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Feed::MoveToResults::Reader {
+public:
+  typedef MoveToResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Feed::MoveToResults::Builder {
+public:
+  typedef MoveToResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Feed::MoveToResults::Pipeline {
+public:
+  typedef MoveToResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Source::Client
     : public virtual ::capnp::Capability::Client,
@@ -3942,6 +4168,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::appletally::inner::rpc::Peer::ForwardParams,  ::appletally::inner::rpc::Peer::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::appletally::inner::rpc::Peer::SourceLoadParams,  ::appletally::inner::rpc::Peer::SourceLoadResults> sourceLoadRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3979,6 +4207,10 @@
   typedef  ::appletally::inner::rpc::Peer::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::appletally::inner::rpc::Peer::SourceLoadParams SourceLoadParams;
+  typedef  ::appletally::inner::rpc::Peer::SourceLoadResults SourceLoadResults;
+  typedef ::capnp::CallContext<SourceLoadParams, SourceLoadResults> SourceLoadContext;
+  virtual ::kj::Promise<void> sourceLoad(SourceLoadContext context);
 
   inline  ::appletally::inner::rpc::Peer::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4805,6 +5037,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Peer::SourceLoadParams::Reader {
+public:
+  typedef SourceLoadParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSubscribers() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool getAccepts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SourceLoadParams::Builder {
+public:
+  typedef SourceLoadParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getSubscribers();
+  inline void setSubscribers( ::uint32_t value);
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool getAccepts();
+  inline void setAccepts(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SourceLoadParams::Pipeline {
+public:
+  typedef SourceLoadParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Peer::SourceLoadResults::Reader {
+public:
+  typedef SourceLoadResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Peer::SourceLoadResults::Builder {
+public:
+  typedef SourceLoadResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Peer::SourceLoadResults::Pipeline {
+public:
+  typedef SourceLoadResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Operator::Client
     : public virtual ::capnp::Capability::Client,
@@ -7281,6 +7675,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Feed::MoveToParams::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Feed::MoveToParams::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Feed::MoveToParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Feed::MoveToParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Feed::MoveToParams::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Feed::MoveToParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Feed::MoveToParams::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Feed::MoveToParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Source::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7914,6 +8342,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Peer::SourceLoadParams::Reader::getSubscribers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Peer::SourceLoadParams::Builder::getSubscribers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SourceLoadParams::Builder::setSubscribers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Peer::SourceLoadParams::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Peer::SourceLoadParams::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Peer::SourceLoadParams::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Peer::SourceLoadParams::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Peer::SourceLoadParams::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Peer::SourceLoadParams::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Peer::SourceLoadParams::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Peer::SourceLoadParams::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Peer::SourceLoadParams::Reader::getAccepts() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool Peer::SourceLoadParams::Builder::getAccepts() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void Peer::SourceLoadParams::Builder::setAccepts(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Operator::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -65,6 +65,14 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> moveTo(MoveToContext context) override
+    {
+        requireCurrentLink();
+        if (const auto address = base::parseAddress(context.getParams().getAddress().cStr()))
+            m_client.moveTo(address.value());
+        return kj::READY_NOW;
+    }
+
 private:
     // A call still in flight on an earlier link must not change or report the state of the current one.
     void requireCurrentLink() const
@@ -241,10 +249,33 @@
     }
     m_subscribed = false;
     m_reporting = false;
+    m_moving = false;
     m_linkTasks = kj::heap<kj::TaskSet>(*this);
     ++m_generation;
     m_link = nullptr;
-    sourceFailed(m_currentSource, std::exchange(m_refusal, std::nullopt));
+    if (m_successorStream.get() == nullptr)
+        return sourceFailed(m_currentSource, std::exchange(m_refusal, std::nullopt));
+    m_connectedStream = kj::mv(m_successorStream);
+    m_currentSource = m_successor;
+}
+
+// The current link is kept until the other source is connected.
+void SourceClient::moveTo(const base::Address& address)
+{
+    if (m_moving || !m_subscribed || address == m_sources[m_currentSource])
+        return;
+    m_moving = true;
+    addSources({ address });
+    const auto found = std::find(m_sources.begin(), m_sources.end(), address);
+    m_linkTasks->add(dial(m_io, address, longConnectTimeout)
+                         .then(
+                             [this, source = static_cast<size_t>(found - m_sources.begin())](kj::Own<kj::AsyncIoStream> stream) {
+                                 ++m_counters.moves;
+                                 m_successorStream = kj::mv(stream);
+                                 m_successor = source;
+                                 m_linkEnder->fulfill(base::fail(base::Code::PeerGone, "moving to another source"));
+                             },
+                             [this](kj::Exception&&) { m_moving = false; }));
 }
 
 void SourceClient::setReachable(bool reachable)
@@ -428,7 +459,7 @@
     const SourceClientCounters sum = counters();
     return { { "source", m_link.get() != nullptr ? m_link->address.text() : "" }, { "subscribed", m_subscribed }, { "held", heldVersion(m_applied).value },
         { "in_force", appliedVersion(m_applied).value }, { "floor", m_applied.minVersion ? nlohmann::json(m_applied.minVersion->value) : nlohmann::json() }, { "refusal", m_applied.refusal }, { "connects", sum.connects }, { "links", sum.links },
-        { "came_back_later", sum.retryLaterResponses }, { "snapshots", sum.snapshots }, { "deltas", sum.deltas }, { "misfits", sum.mismatches }, { "refused", sum.rejectedVersions },
+        { "came_back_later", sum.retryLaterResponses }, { "moves", sum.moves }, { "snapshots", sum.snapshots }, { "deltas", sum.deltas }, { "misfits", sum.mismatches }, { "refused", sum.rejectedVersions },
         { "endpoints", m_mirror.entries.size() }, { "endpoint_misfits", sum.endpointMismatches }, { "bytes_in", sum.bytesIn }, { "bytes_out", sum.bytesOut } };
 }
 
--- a/src/appletally/inner/source_client.h
+++ b/src/appletally/inner/source_client.h
@@ -41,6 +41,7 @@
     uint64_t connects = 0; // connection attempts
     uint64_t links = 0; // authenticated and subscribed
     uint64_t retryLaterResponses = 0; // subscriptions rejected with a time to retry
+    uint64_t moves = 0; // to another source at the request of the previous one
     uint64_t snapshots = 0; // full snapshots received
     uint64_t deltas = 0;
     uint64_t mismatches = 0; // deltas that did not match the version held
@@ -85,6 +86,7 @@
     kj::Promise<void> fetchMinimumVersion();
     kj::Promise<void> renewPeriodically();
     void handleLinkDown(const base::Error&);
+    void moveTo(const base::Address&);
     base::ConfigVersion receiveContent(rpc::Content::Reader);
     void publishApplied(bool changed);
     void dropEndedEvidence();
@@ -105,6 +107,12 @@
     kj::Own<kj::PromiseFulfiller<void>> m_raceWaker; // wakes the race when an attempt ends or a source is added
     kj::Own<kj::AsyncIoStream> m_connectedStream; // the connection that won the race; null: none
     size_t m_currentSource = 0; // index into m_sources
+
+    // The source that follows when the current link ends, already connected. Null: none.
+    kj::Own<kj::AsyncIoStream> m_successorStream;
+    size_t m_successor = 0; // index into m_sources
+    bool m_moving = false; // connecting to a successor
+
     uint64_t m_consecutiveFailures = 0; // over all sources
     bool m_reachable = false;
     std::optional<policy::SourceRejection> m_refusal; // of the current source
--- a/tests/control_distribution_test.cpp
+++ b/tests/control_distribution_test.cpp
@@ -345,6 +345,46 @@
     CHECK(subscribed() <= 3);
 }
 
+// Guards against a node that leaves its source for one that cannot be reached, and is without a source meanwhile.
+TEST_CASE("a subscriber that is handed over keeps its source until the other one is connected", "[control][distribution]")
+{
+    auto io = kj::setupAsyncIo();
+    TestSource crowded(io, unlimited());
+    TestSource spare(io, unlimited());
+    crowded.distributor.contentReleased(snapshot(1));
+    spare.distributor.contentReleased(snapshot(1));
+    TestNode node(io, { crowded.address });
+    node.waitFor(io, 1);
+    const auto wait = [&] { io.provider->getTimer().afterDelay(5 * kj::MILLISECONDS).wait(io.waitScope); };
+    while (crowded.distributor.movableSubscribers().empty())
+        wait();
+    const uint64_t subscriber = crowded.distributor.movableSubscribers()[0].id;
+
+    const base::Address closed = spare.address;
+    spare.port->stopListening();
+    crowded.distributor.handOver(subscriber, closed);
+    CHECK(crowded.distributor.lastingSubscribers() == 0);
+    CHECK(crowded.distributor.movableSubscribers().empty());
+    crowded.distributor.contentReleased(snapshot(2));
+    node.waitFor(io, 2);
+    CHECK(crowded.distributor.toJson()["subscribed"] == 1);
+    while (crowded.distributor.movableSubscribers().empty()) // it stayed, and may be moved again
+        wait();
+    CHECK(crowded.distributor.lastingSubscribers() == 1);
+
+    spare.distributor.contentReleased(snapshot(2));
+    REQUIRE(spare.port->listen(closed));
+    crowded.distributor.handOver(subscriber, closed);
+    while (spare.distributor.subscribers() == 0)
+        wait();
+    CHECK(crowded.distributor.subscribers() == 0);
+    spare.distributor.contentReleased(snapshot(3));
+    node.waitFor(io, 3);
+    CHECK(node.versions == std::vector<uint64_t> { 1, 2, 3 });
+    CHECK(node.client->toJson()["moves"] == 1);
+    CHECK(spare.distributor.toJson()["whole_sent"] == 0); // nothing that it holds is sent again
+}
+
 TEST_CASE("a node does not wait for a source whose host has no power", "[control][distribution]")
 {
     // Guards against a start that is delayed by a connect retransmission: after a power loss some control hosts are still
