Answers in transit are not cut by clocks that do not see them

Change: a read moves away from a silent host only if another upstream and the budget allow it; the time to close counts from the moment at which the caller's system has acknowledged everything.

Measured: both tests fail before (502 instead of the answer; 118,651 of 1,048,576 bytes) and pass after.

--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -2,9 +2,12 @@
 #include "appletally/http/caller_connection.h"
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace appletally::http {
@@ -360,15 +363,25 @@
     event_active(listener.m_deleteClosedEvent, 0, 0);
 }
 
+// Bytes that the caller's system has not acknowledged yet. None: this system does not tell.
+static std::optional<size_t> unacknowledgedBytes(evutil_socket_t fd)
+{
+    int n = 0;
+    return ioctl(fd, SIOCOUTQ, &n) == 0 && n >= 0 ? std::optional(static_cast<size_t>(n)) : std::nullopt;
+}
+
+// An answer is delivered once the caller has it, not once it has left this process: on a congested link it waits in the
+// system's buffers, and a close would reset the connection.
 bool CallerConnection::timedOut(base::Time now)
 {
     const ListenerLimits& limits = listener.m_limits;
-    const size_t backlog = evbuffer_get_length(bufferevent_get_output(buffers));
+    const std::optional<size_t> inSystem = unacknowledgedBytes(bufferevent_getfd(buffers));
+    const size_t backlog = evbuffer_get_length(bufferevent_get_output(buffers)) + inSystem.value_or(0);
     if (backlog < lastBacklog)
         phaseStart = now;
     lastBacklog = backlog;
     if (closing == Closing::Lingering)
-        return now - phaseStart > lingerTimeout;
+        return now - phaseStart > (backlog > 0 || !inSystem ? limits.stallTimeout : lingerTimeout);
     if (backlog > 0)
         return now - phaseStart > limits.stallTimeout;
     if (!queue.empty())
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -87,6 +87,7 @@
     void send(ActiveRequest&);
     void startAttempt(ActiveRequest&, const policy::Pick&, bool isHedge);
     std::optional<policy::Pick> pickFor(const ActiveRequest&);
+    void moveAttempt(ActiveRequest&, const base::Error&);
     void logSent(const ActiveRequest&, const Attempt&) const;
     void armHedge(ActiveRequest&);
     void onHedgeTimer(ActiveRequest&);
@@ -106,6 +107,8 @@
     void recordRefusal(ActiveRequest&, const base::Error&);
     void onNoUpstreamLeft(ActiveRequest&);
     void onFailedAttempt(ActiveRequest&, const base::Error&);
+    policy::RetryDecision decideRetry(const ActiveRequest&, const base::Error&); // takes a token of the budget if it decides for a retry
+    void retryAfterPause(ActiveRequest&, const base::Error&, base::Duration pause);
     void replyBuffered(ActiveRequest&, const http::AnswerHead&, const std::string& body);
     void failRequest(ActiveRequest&, const base::Error&); // sends the final answer when no upstream has answered
     void verifyNotRun(ActiveRequest&, const base::Error&);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -226,6 +226,18 @@
         return removeRequest(it);
     }
     recordRefusal(it, error);
+    const policy::RetryDecision decision = decideRetry(it, error);
+    if (decision.retry)
+        return retryAfterPause(it, error, decision.after);
+    base::Error last = error;
+    last.code = policy::finalCode(it.mayHaveRun, decision.code);
+    if (it.firstRefusal)
+        last.retryAfter = it.firstRefusal->retryAfter;
+    failRequest(it, last);
+}
+
+policy::RetryDecision Ingress::decideRetry(const ActiveRequest& it, const base::Error& error)
+{
     policy::FailedAttempt failed;
     failed.idempotent = it.route->idempotent;
     failed.callerReturned = it.earlierWait.ms > 0 || it.call.internal; // the calls of a run do not return
@@ -234,21 +246,18 @@
     failed.deadline = it.call.deadline;
     failed.expected = it.route->expected;
     failed.maxAttempts = it.route->maxAttempts;
-    const auto decision = policy::mayRetry(m_retries[it.call.service], failed, base::steadyNow(), inner::randomNumber());
-    if (!decision.retry) {
-        base::Error last = error;
-        last.code = policy::finalCode(it.mayHaveRun, decision.code);
-        if (it.firstRefusal)
-            last.retryAfter = it.firstRefusal->retryAfter;
-        return failRequest(it, last);
-    }
+    return policy::mayRetry(m_retries[it.call.service], failed, base::steadyNow(), inner::randomNumber());
+}
+
+void Ingress::retryAfterPause(ActiveRequest& it, const base::Error& error, Duration pause)
+{
     ++m_counts.retried;
     base::logRequest(base::Event::RequestRetried, it.name,
-        { { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "after_ms", decision.after.ms }, { "budget_thousandths", policy::available(m_retries[it.call.service], base::steadyNow()) } });
-    if (decision.after.ms <= 0)
+        { { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "after_ms", pause.ms }, { "budget_thousandths", policy::available(m_retries[it.call.service], base::steadyNow()) } });
+    if (pause.ms <= 0)
         return send(it);
     it.retryPending = true;
-    const timeval wait = base::toTimeval(decision.after);
+    const timeval wait = base::toTimeval(pause);
     event_add(it.timer, &wait);
 }
 
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -227,12 +227,27 @@
         ActiveRequest* it = find(id);
         if (!it || it->activeAttempts.size() != 1)
             continue;
-        cancelAttempt(*it, *it->activeAttempts[0], AnswerKind::Silent);
-        it->mayHaveRun = true;
-        onFailedAttempt(*it, base::fail(Code::OutcomeUnknown, host.text + " is unresponsive"));
+        moveAttempt(*it, base::fail(Code::OutcomeUnknown, host.text + " is unresponsive"));
     }
 }
 
+// Retries the only attempt of a read elsewhere. If that is not possible it goes on: the upstream may be at work, and its answer
+// may only be late.
+void Ingress::moveAttempt(ActiveRequest& it, const base::Error& error)
+{
+    const auto other = pickFor(it);
+    if (!other)
+        return;
+    policy::answered(m_routers[it.call.service], { other->host, it.route->name, AnswerKind::Cancelled, {}, {} }, base::steadyNow());
+    const policy::RetryDecision decision = decideRetry(it, error);
+    if (!decision.retry)
+        return;
+    cancelAttempt(it, *it.activeAttempts[0], AnswerKind::Silent);
+    it.mayHaveRun = true;
+    event_del(it.hedgeTimer);
+    retryAfterPause(it, error, decision.after);
+}
+
 // Only for the new version of a rollout; no other version is evaluated.
 std::optional<policy::CallerBaseline> Ingress::baselineFor(const ActiveRequest& it, const policy::Pick& pick) const
 {
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -2,6 +2,7 @@
 // other callers.
 #include "node_fixture.h"
 
+#include "appletally/base/loop_time.h"
 #include "appletally/inner/frame.h"
 #include "appletally/inner/node_link.h"
 
@@ -21,6 +22,18 @@
     return base::Json::parse(std::get<inner::DumpAnswered>(node.toControl.back()).json);
 }
 
+// Runs the loop for this long.
+void runFor(TestMesh& mesh, base::Duration time)
+{
+    bool over = false;
+    event* timer = evtimer_new(
+        mesh.loop(), [](evutil_socket_t, short, void* arg) { *static_cast<bool*>(arg) = true; }, &over);
+    const timeval wait = base::toTimeval(time);
+    event_add(timer, &wait);
+    REQUIRE(mesh.run([&] { return over; }));
+    event_free(timer);
+}
+
 struct Edge {
     TestMesh mesh;
     std::unique_ptr<TestUpstream> upstream = std::make_unique<TestUpstream>(mesh.loop());
@@ -272,6 +285,19 @@
     bufferevent* server = nullptr;
 };
 
+// The endpoint that the node has announced last, at another address.
+config::Endpoint endpointOf(const TestNode& node, const base::Address& address)
+{
+    config::Endpoint out;
+    for (const inner::FromNode& it : node.toControl) {
+        if (const auto* announced = std::get_if<inner::EndpointAnnounced>(&it))
+            out = announced->endpoint;
+    }
+    out.inner = address;
+    ++out.sequence.value;
+    return out;
+}
+
 } // namespace
 
 // Guards against answers that are lost in the memory of an owner that exits: all of its runs have ended, but their answers
@@ -286,14 +312,7 @@
     constexpr int answers = 24; // together more than the system's socket buffers accept at once
     mesh.announce(owner, upstream, "ready", answers);
     mesh.applyEverywhere("examples/berthgrid.json");
-    config::Endpoint behindRelay;
-    for (const inner::FromNode& it : owner.toControl) {
-        if (const auto* announced = std::get_if<inner::EndpointAnnounced>(&it))
-            behindRelay = announced->endpoint;
-    }
-    behindRelay.inner = relay.address;
-    ++behindRelay.sequence.value;
-    ingress.fromControl.send(inner::EndpointsChanged { { behindRelay } });
+    ingress.fromControl.send(inner::EndpointsChanged { { endpointOf(owner, relay.address) } });
     const auto first = mesh.ask(ingress, "GET", "/archive/first");
     REQUIRE(mesh.run([&] { return first->done; }));
     REQUIRE(relay.server);
@@ -301,6 +320,7 @@
     upstream.bodyBytes = 250 * 1024;
     relay.setPaused(true);
     std::vector<std::shared_ptr<TestAnswer>> received;
+    received.reserve(answers);
     for (int n = 0; n < answers; ++n)
         received.push_back(mesh.ask(ingress, "GET", "/archive/" + std::to_string(n)));
     const auto running = [&] { return dumpOf(mesh, owner)["owner"]["load"]["running"].get<int>(); };
@@ -329,6 +349,65 @@
     }
 }
 
+// Guards against a read that is given up after a second of silence although nothing else can answer it: the only upstream is
+// at work, and its node's link is congested.
+TEST_CASE("a read goes on over a silent link if it cannot go elsewhere", "[edge]")
+{
+    TestMesh mesh;
+    TestUpstream upstream(mesh.loop());
+    TestNode& owner = mesh.addNode("a", "z1");
+    TestNode& ingress = mesh.addNode("b", "z2");
+    PausableRelay relay(mesh.loop(), owner.addresses.inner);
+    mesh.announce(owner, upstream, "ready");
+    mesh.applyEverywhere("examples/berthgrid.json");
+    ingress.fromControl.send(inner::EndpointsChanged { { endpointOf(owner, relay.address) } });
+    const auto first = mesh.ask(ingress, "GET", "/berths/1");
+    REQUIRE(mesh.run([&] { return first->done; }));
+
+    relay.setPaused(true);
+    const auto answer = mesh.ask(ingress, "GET", "/archive/1", { "Request-Tag: late" });
+    runFor(mesh, { 1400 }); // longer than a link counts as fresh
+    CHECK_FALSE(answer->done);
+    relay.setPaused(false);
+    REQUIRE(mesh.run([&] { return answer->done; }));
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "late");
+    CHECK(upstream.runs == 2);
+}
+
+// Guards against an answer that is cut by a reset: it has left the node's memory, and still waits in the system's buffers
+// for a congested caller when the node closes the connection.
+TEST_CASE("a connection is closed only after the caller's system has the whole last answer", "[edge]")
+{
+    Edge edge;
+    edge.upstream->bodyBytes = 1024 * 1024;
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int receiveBufferBytes = 64 * 1024;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+    const sockaddr_in to = PausableRelay::loopback(edge.node->addresses.callers.port);
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    const std::string request = "GET /archive/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    REQUIRE(::write(fd, request.data(), request.size()) == static_cast<ssize_t>(request.size()));
+    runFor(edge.mesh, { 1600 }); // the caller reads nothing
+    REQUIRE(::write(fd, "G", 1) == 1); // a closed connection would be reset by this
+    runFor(edge.mesh, { 50 });
+
+    evutil_make_socket_nonblocking(fd);
+    size_t got = 0;
+    bool ended = false;
+    for (int n = 0; n < 1000 && !ended; ++n) {
+        char bytes[64 * 1024];
+        ssize_t count = 0;
+        while ((count = ::read(fd, bytes, sizeof bytes)) > 0)
+            got += static_cast<size_t>(count);
+        ended = count == 0;
+        runFor(edge.mesh, { 1 });
+    }
+    ::close(fd);
+    CHECK(ended);
+    CHECK(got > edge.upstream->bodyBytes);
+}
+
 TEST_CASE("the inner port closes on malformed data, another cluster, a wrong key and oversized frames", "[edge]")
 {
     // Any host on the network can connect to the inner port, and messages there act on behalf of callers. So the handshake
