A read at a silent host gets a copy elsewhere and goes on

The upstream had been at work.

Change: the earlier attempt is not cancelled. A copy goes elsewhere within the budget, another one if that is refused, and the first answer wins.

--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -15,7 +15,7 @@
 // half a second, and a service that has lost all upstreams rarely gets one back sooner.
 constexpr base::Duration startupRetryAfter { 500 };
 
-// One copy of the request, sent to one upstream. At most two are active: the first and a hedge.
+// One copy of the request, sent to one upstream. At most one is active besides those at hosts that fell silent and a hedge.
 struct Ingress::Attempt {
     uint64_t number = 0; // unique within the node; tells a late callback of an ended attempt from one of an active attempt
     bool local = false; // sent to the upstream beside this node
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -59,7 +59,7 @@
     void apply(std::shared_ptr<const config::Snapshot>);
     void setEndpoints(const std::vector<config::Endpoint>&);
     void onLoadReported(const base::HostId&, const policy::Load&);
-    void onSuspected(const base::HostId&); // retries the reads that are active there elsewhere
+    void onSuspected(const base::HostId&); // sends copies of the reads that are active there elsewhere
     void setConfigurationExpected(bool); // a source of configuration answers, even if no version has been applied yet
     void open(); // configuration and upstreams are known: serves the queued early requests
     void drain(); // answers close their connections from now on, so that callers move to another node
@@ -87,7 +87,8 @@
     void send(ActiveRequest&);
     void startAttempt(ActiveRequest&, const policy::Pick&, bool isHedge);
     std::optional<policy::Pick> pickFor(const ActiveRequest&);
-    void moveAttempt(ActiveRequest&, const base::Error&);
+    void copyElsewhere(ActiveRequest&, const base::Error&);
+    bool waitsForSilentHosts(const ActiveRequest&) const;
     void logSent(const ActiveRequest&, const Attempt&) const;
     void armHedge(ActiveRequest&);
     void onHedgeTimer(ActiveRequest&);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -150,7 +150,9 @@
     if (error->code == Code::VersionRolledBack)
         stopVersion(it, ending->pick);
     if (it.activeAttempts.empty())
-        onFailedAttempt(it, *error); // otherwise the other attempt decides
+        onFailedAttempt(it, *error);
+    else if (waitsForSilentHosts(it)) // otherwise another attempt decides
+        copyElsewhere(it, *error);
 }
 
 void Ingress::updateVersionView(const ActiveRequest& it, const Attempt& attempt, bool failed, int64_t runMicros)
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -214,7 +214,7 @@
 }
 
 // A host froze, or a device on the path lost the state of the connection: no error is reported. A read that waited for the
-// link's own timeout would miss its deadline; since it may run twice, it is retried elsewhere now.
+// link's own timeout would miss its deadline; since it may run twice, a copy is sent elsewhere now.
 void Ingress::onSuspected(const base::HostId& host)
 {
     std::vector<uint64_t> there;
@@ -227,25 +227,27 @@
         ActiveRequest* it = find(id);
         if (!it || it->activeAttempts.size() != 1)
             continue;
-        moveAttempt(*it, base::fail(Code::OutcomeUnknown, host.text + " is unresponsive"));
+        copyElsewhere(*it, base::fail(Code::OutcomeUnknown, host.text + " is unresponsive"));
     }
 }
 
-// Retries the only attempt of a read elsewhere. If that is not possible it goes on: the upstream may be at work, and its answer
-// may only be late.
-void Ingress::moveAttempt(ActiveRequest& it, const base::Error& error)
+// Sends a copy of a read whose attempts are all at silent hosts. The earlier attempts go on: their upstreams may be at work, and
+// their answers may only be late.
+void Ingress::copyElsewhere(ActiveRequest& it, const base::Error& error)
 {
     const auto other = pickFor(it);
     if (!other)
         return;
+    if (decideRetry(it, error).retry)
+        return startAttempt(it, *other, true);
     policy::answered(m_routers[it.call.service], { other->host, it.route->name, AnswerKind::Cancelled, {}, {} }, base::steadyNow());
-    const policy::RetryDecision decision = decideRetry(it, error);
-    if (!decision.retry)
-        return;
-    cancelAttempt(it, *it.activeAttempts[0], AnswerKind::Silent);
-    it.mayHaveRun = true;
-    event_del(it.hedgeTimer);
-    retryAfterPause(it, error, decision.after);
+}
+
+bool Ingress::waitsForSilentHosts(const ActiveRequest& it) const
+{
+    const std::vector<base::HostId>& suspects = m_peers->suspects();
+    return it.route->idempotent && !it.streaming
+        && std::all_of(it.activeAttempts.begin(), it.activeAttempts.end(), [&](const auto& attempt) { return std::find(suspects.begin(), suspects.end(), attempt->pick.host) != suspects.end(); });
 }
 
 // Only for the new version of a rollout; no other version is evaluated.
--- a/src/appletally/node/peers.h
+++ b/src/appletally/node/peers.h
@@ -34,7 +34,7 @@
 
     void sendClaimMessage(const base::HostId&, const base::Address&, const std::string& body, OnClaimAnswer);
     // Hosts from which nothing was received for maxFreshLinkAge, though their links are not closed yet. Idempotent requests
-    // should go elsewhere now; others wait for the link's own timeout, since abandoning them makes their outcome unknown.
+    // should be sent elsewhere too; others wait for the link's own timeout, since abandoning them makes their outcome unknown.
     const std::vector<base::HostId>& suspects() const { return m_suspects; }
     size_t links() const { return m_links.size(); }
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -349,9 +349,9 @@
     }
 }
 
-// Guards against a read that is given up after a second of silence although nothing else can answer it: the only upstream is
-// at work, and its node's link is congested.
-TEST_CASE("a read goes on over a silent link if it cannot go elsewhere", "[edge]")
+// Guards against a read that is given up after a second of silence although nothing else can answer it: its upstream is at
+// work, its node's link is congested, and there is no other upstream, or none that takes it.
+TEST_CASE("a read goes on over a silent link unless another upstream answers it", "[edge]")
 {
     TestMesh mesh;
     TestUpstream upstream(mesh.loop());
@@ -363,9 +363,15 @@
     ingress.fromControl.send(inner::EndpointsChanged { { endpointOf(owner, relay.address) } });
     const auto first = mesh.ask(ingress, "GET", "/berths/1");
     REQUIRE(mesh.run([&] { return first->done; }));
+    const bool withAnother = GENERATE(false, true);
+    if (withAnother) { // its node has ended, and its record has not expired
+        config::Endpoint gone = endpointOf(owner, PausableRelay(mesh.loop(), {}).address);
+        gone.host = { "gone" };
+        ingress.fromControl.send(inner::EndpointsChanged { { gone } });
+    }
 
     relay.setPaused(true);
-    const auto answer = mesh.ask(ingress, "GET", "/archive/1", { "Request-Tag: late" });
+    auto answer = mesh.ask(ingress, "GET", "/archive/1", { "Request-Tag: late" });
     runFor(mesh, { 1400 }); // longer than a link counts as fresh
     CHECK_FALSE(answer->done);
     relay.setPaused(false);
