--- a/src/appletally/policy/hedge.cpp
+++ b/src/appletally/policy/hedge.cpp
@@ -48,8 +48,7 @@
 bool acquireHedge(HedgeBudget& it, RetryBudget& retries, base::Time now, uint64_t random)
 {
     advance(it.tokens, now);
-    const uint64_t other = random >> 32; // each budget has its own chance
-    return takeToken(it.tokens, random) && takeToken(retries, now, other);
+    return takeToken(it.tokens, random) && takeToken(retries, now, random >> 32);
 }
 
 } // namespace appletally::policy
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -123,8 +123,7 @@
         if (!failed.callerReturned && it.refusedShare > maxRefusedShare)
             return doNotRetry(failed.code);
     }
-    const uint64_t other = random >> 32; // independent of the pause
-    if (!takeToken(it, now, other))
+    if (!takeToken(it, now, random >> 32)) // other bits than those of the pause
         return doNotRetry(failed.code);
     return { true, pause, base::Code::Ok };
 }
--- a/src/appletally/policy/token_window.h
+++ b/src/appletally/policy/token_window.h
@@ -16,10 +16,10 @@
 
 constexpr int64_t wholeToken = 1000; // tokens are counted in thousandths
 
-// In thousandths of a token. Sums over any number of windows of N callers: in a time T at most what was earned in T and in
-// the tokenLifetime before it is spent.
+// What any number of callers spend together in some time was earned in that time or within this before it.
 constexpr base::Duration tokenLifetime { 10'000 };
 
+// In thousandths of a token.
 struct TokenWindow {
     static constexpr size_t slotCount = 10;
     std::array<int64_t, slotCount> unspent {}; // by the time at which they were earned
