Time between nodes of each answer in logs and metrics

Whether answers are late for full links, for slots held by runs that wait for lookups, or for callers that return at once, could only be told by joining the logs of two processes for each request.

Change: the owner reports how long a call was with it, waiting and running. The caller's node counts the rest as transit: a histogram appletally_answer_transit_ms by size of the answer, and ran_ms and transit_ms in each line request-answered.

The new test reads the metric.

--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -12,6 +12,7 @@
     { "appletally_requests_refused_total", MetricKind::Counter, "callers' requests that were rejected, by service and result code" },
     { "appletally_request_tries_total", MetricKind::Counter, "further attempts of callers' requests, by kind" },
     { "appletally_request_latency_ms", MetricKind::Histogram, "from a caller's request to its complete answer" },
+    { "appletally_answer_transit_ms", MetricKind::Histogram, "time of a call and its answer between two nodes, beside its wait and run at the owner, by the answer's size: `short` up to 16 KiB, `large` above" },
     { "appletally_requests_running", MetricKind::Gauge, "callers' requests without a complete answer" },
     { "appletally_caller_connections", MetricKind::Gauge, "open connections of callers" },
     { "appletally_caller_refusals_total", MetricKind::Counter, "invalid requests and rejected connections of callers, by reason" },
--- a/src/appletally/inner/link.capnp
+++ b/src/appletally/inner/link.capnp
@@ -85,6 +85,7 @@
   load @2 :Load;
   runMicros @3 :UInt64;    # run time at the upstream
   usualRunMs @4 :UInt32;   # recent run time of the route at this upstream, over all callers; 0: unknown
+  ownerMicros @5 :UInt64;  # from the call's arrival at the owner to the end of its run; 0: unknown
 }
 
 struct Refused {
--- a/src/appletally/inner/link.capnp.h
+++ b/src/appletally/inner/link.capnp.h
@@ -166,7 +166,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(96f86772ab1747c4, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(96f86772ab1747c4, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1192,6 +1192,8 @@
 
   inline  ::uint32_t getUsualRunMs() const;
 
+  inline  ::uint64_t getOwnerMicros() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1239,6 +1241,9 @@
   inline  ::uint32_t getUsualRunMs();
   inline void setUsualRunMs( ::uint32_t value);
 
+  inline  ::uint64_t getOwnerMicros();
+  inline void setOwnerMicros( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3324,6 +3329,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t AnswerEnd::Reader::getOwnerMicros() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AnswerEnd::Builder::getOwnerMicros() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AnswerEnd::Builder::setOwnerMicros( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Refused::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -28,6 +28,8 @@
     std::string bufferedBody;
     uint64_t bodyBytes = 0;
     uint64_t uncreditedBytes = 0; // body bytes received for which no credit has been returned to the owner
+    base::Duration ran {}; // of a complete answer: at the upstream
+    base::Duration transit {}; // of a complete answer: between this node and the owner, both ways; zero for a local attempt
 };
 
 struct Ingress::ActiveRequest {
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -47,9 +47,12 @@
     std::optional<base::Error> error; // empty: the answer was complete
     std::optional<policy::Load> load; // of the owner, if known
     int64_t runMicros = 0; // run time at the upstream
+    int64_t ownerMicros = 0; // from the call's arrival at the owner to its end there; 0: not known
     base::Duration usualRun {}; // recent run time of the route there over all callers; zero: not known
 };
 
+constexpr uint64_t maxShortAnswerBytes = 16 * 1024; // of a body; metrics tell short answers from large ones
+
 // Name of a request in the logs: the caller's request id, or else `own`, this process's number.
 std::string requestLogName(const std::vector<http::HeaderField>& headers, const std::string& idHeader, uint64_t own);
 
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -152,6 +152,8 @@
     count("appletally_request_tries_total", "kind=\"retry\"", m_counts.retried);
     count("appletally_request_tries_total", "kind=\"hedge\"", m_counts.hedged);
     out.add("appletally_request_latency_ms", "", m_latency);
+    out.add("appletally_answer_transit_ms", "size=\"short\"", m_transitOfShort);
+    out.add("appletally_answer_transit_ms", "size=\"large\"", m_transitOfLarge);
     count("appletally_requests_running", "", m_calls.size());
     const http::ListenerCounts& in = m_listener.counts();
     count("appletally_caller_connections", "", in.connections);
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -118,6 +118,7 @@
     void cancelAttempt(ActiveRequest&, Attempt&, policy::AnswerKind);
     void cancelAll(ActiveRequest&);
     std::unique_ptr<Attempt> detachAttempt(ActiveRequest&, const Attempt&);
+    void recordTransit(Attempt&, const CallEnd&);
     void recordOutcome(const ActiveRequest&, const Attempt&, policy::AnswerKind, const CallEnd&);
     void removeRequest(ActiveRequest&);
 
@@ -148,6 +149,8 @@
     policy::Collapse m_collapse;
     std::map<uint64_t, std::unique_ptr<ActiveRequest>> m_calls;
     base::LatencyHistogram m_latency;
+    base::LatencyHistogram m_transitOfShort; // of answers up to maxShortAnswerBytes
+    base::LatencyHistogram m_transitOfLarge;
     IngressCounts m_counts;
     uint64_t m_lastId = 0;
     uint64_t m_lastAttemptNumber = 0;
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -97,6 +97,16 @@
         policy::observe(m_slowAnswers[it.route->name], took);
 }
 
+// What an answer took beside its wait and run at the owner: long where links are full.
+void Ingress::recordTransit(Attempt& attempt, const CallEnd& end)
+{
+    attempt.ran = { end.runMicros / 1000 };
+    if (attempt.local || end.ownerMicros == 0)
+        return;
+    attempt.transit = std::max(base::steadyNow() - attempt.sentAt - Duration { end.ownerMicros / 1000 }, Duration {});
+    (attempt.bodyBytes <= maxShortAnswerBytes ? m_transitOfShort : m_transitOfLarge).add(attempt.transit.ms * 1000);
+}
+
 std::unique_ptr<Ingress::Attempt> Ingress::detachAttempt(ActiveRequest& it, const Attempt& attempt)
 {
     auto found = std::find_if(it.activeAttempts.begin(), it.activeAttempts.end(), [&](const auto& candidate) { return candidate.get() == &attempt; });
@@ -142,6 +152,7 @@
     if (!error || !base::info(error->code).notRun)
         updateVersionView(it, *ending, error || ending->head->status >= 500, end.runMicros);
     if (!error) {
+        recordTransit(*ending, end);
         recordOutcome(it, *ending, ending->head->status >= 500 ? AnswerKind::Failed : AnswerKind::Good, end);
         return onCompleteAnswer(it, *ending);
     }
@@ -171,7 +182,7 @@
     ++m_counts.answered;
     m_latency.add(base::steadyMicros() - it.startedMicros);
     base::logRequest(base::Event::RequestAnswered, it.name,
-        { { "route", it.route->name.text }, { "upstream", attempt.pick.host.text }, { "status", attempt.head->status }, { "took_ms", (base::steadyNow() - it.startedAt).ms }, { "tries", it.attemptCount } });
+        { { "route", it.route->name.text }, { "upstream", attempt.pick.host.text }, { "status", attempt.head->status }, { "took_ms", (base::steadyNow() - it.startedAt).ms }, { "ran_ms", attempt.ran.ms }, { "transit_ms", attempt.transit.ms }, { "tries", it.attemptCount } });
     if (it.streaming) {
         it.exchange->onGone = nullptr;
         it.exchange->onDrained = nullptr;
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -23,6 +23,7 @@
     http::UpstreamCall* upstream = nullptr;
     base::UpstreamVersion version;
     event* timer = nullptr; // first the deferred start, then the deadline
+    int64_t arrivedMicros = 0;
     int64_t startedMicros = 0;
     int64_t ranMicros = 0;
     uint64_t unconsumedBytes = 0;
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -160,6 +160,7 @@
         message.setId(id);
         message.setBodyBytes(it.sentBytes[id]);
         message.setRunMicros(static_cast<uint64_t>(end.runMicros));
+        message.setOwnerMicros(static_cast<uint64_t>(end.ownerMicros));
         message.setUsualRunMs(static_cast<uint32_t>(end.usualRun.ms));
         if (end.load)
             writeLoad(message.initLoad(), *end.load);
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -25,6 +25,7 @@
     it.call = std::move(call);
     it.handler = std::move(handler);
     it.owner = this;
+    it.arrivedMicros = base::steadyMicros();
     it.timer = event_new(
         m_loop, -1, 0, [](evutil_socket_t, short, void* arg) {
             auto* self = static_cast<ActiveCall*>(arg);
@@ -379,7 +380,7 @@
     logEnd(it, error);
     if (error && !base::info(error->code).notRun)
         ++m_counts.failed;
-    CallEnd end { std::move(error), currentLoad(), it.ranMicros, policy::observedRun(m_admission.runs, it.call.route).value_or(Duration {}) };
+    CallEnd end { std::move(error), currentLoad(), it.ranMicros, base::steadyMicros() - it.arrivedMicros, policy::observedRun(m_admission.runs, it.call.route).value_or(Duration {}) };
     auto handler = std::move(it.handler);
     const bool detached = it.detached;
     m_calls.erase(it.id);
--- a/src/appletally/node/peers.cpp
+++ b/src/appletally/node/peers.cpp
@@ -202,6 +202,7 @@
         end.load = readLoad(message.getLoad());
     end.runMicros = static_cast<int64_t>(message.getRunMicros());
     end.usualRun = { message.getUsualRunMs() };
+    end.ownerMicros = static_cast<int64_t>(message.getOwnerMicros());
     finish(message.getId(), end);
 }
 
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -361,6 +361,28 @@
     }
 }
 
+// Guards against answers that are late without a sign of where: their runs were short, and they waited for a link.
+TEST_CASE("the time that an answer waits for a link shows in the metrics of its caller's node", "[edge]")
+{
+    NodesWithRelay nodes;
+    const auto longTransits = [&] {
+        const std::string text = nodes.ingress.node->metrics();
+        const auto upTo = [&](const std::string& edge) {
+            const std::string sample = "appletally_answer_transit_ms_bucket{size=\"short\",le=\"" + edge + "\"} ";
+            const size_t at = text.find(sample);
+            return at == std::string::npos ? 0 : std::stoi(text.substr(at + sample.size()));
+        };
+        return upTo("+Inf") - upTo("200");
+    };
+    const int before = longTransits();
+    nodes.relay.setPaused(true);
+    const auto answer = nodes.mesh.ask(nodes.ingress, "GET", "/archive/1");
+    runFor(nodes.mesh, { 400 });
+    nodes.relay.setPaused(false);
+    REQUIRE(nodes.mesh.run([&] { return answer->done; }));
+    CHECK(longTransits() == before + 1);
+}
+
 // Guards against a read that is given up after a second of silence although nothing else can answer it: its upstream is at
 // work, its node's link is congested, and there is no other upstream, or none that takes it.
 TEST_CASE("a read goes on over a silent link unless another upstream answers it", "[edge]")
