--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -275,12 +275,22 @@
         if (evbuffer_get_length(bufferevent_get_output(other(from))) == 0)
             ::shutdown(bufferevent_getfd(other(from)), SHUT_WR);
     }
+    // Bytes of the target's answers that pass in a second.
+    void setRate(size_t bytesPerSecond)
+    {
+        constexpr size_t ticksPerSecond = 100;
+        const timeval tick { 0, 1'000'000 / ticksPerSecond };
+        ev_token_bucket_cfg* rate = ev_token_bucket_cfg_new(bytesPerSecond / ticksPerSecond, bytesPerSecond / ticksPerSecond, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+        bufferevent_set_rate_limit(server, rate);
+        rateLimit.reset(rate);
+    }
     void setPaused(bool paused) { paused ? bufferevent_disable(server, EV_READ) : bufferevent_enable(server, EV_READ); }
 
     event_base* loop;
     base::Address target;
     base::Address address;
     evconnlistener* listener = nullptr;
+    std::unique_ptr<ev_token_bucket_cfg, decltype(&ev_token_bucket_cfg_free)> rateLimit { nullptr, ev_token_bucket_cfg_free };
     bufferevent* client = nullptr;
     bufferevent* server = nullptr;
 };
@@ -383,6 +393,34 @@
     CHECK(longTransits() == before + 1);
 }
 
+// Guards against short answers that wait for seconds on a full link behind large ones that were ready before them.
+TEST_CASE("a short answer passes large ones on a full link", "[edge]")
+{
+    constexpr int archives = 12;
+    NodesWithRelay nodes(archives);
+    TestMesh& mesh = nodes.mesh;
+    nodes.relay.setRate(750 * 1000);
+    nodes.upstream.bodyBytes = 90 * 1000;
+    std::vector<std::shared_ptr<TestAnswer>> large;
+    large.reserve(archives);
+    for (int n = 0; n < archives; ++n)
+        large.push_back(mesh.ask(nodes.ingress, "GET", "/archive/" + std::to_string(n)));
+    REQUIRE(mesh.run([&] { return dumpOf(mesh, nodes.owner)["owner"]["load"]["running"].get<int>() == 0 && nodes.upstream.runs == archives + 1; }));
+    const auto received = [&] { return std::count_if(large.begin(), large.end(), [](const auto& it) { return it->done; }); };
+    const auto before = received();
+
+    nodes.upstream.bodyBytes = 1000;
+    const auto shortAnswer = mesh.ask(nodes.ingress, "GET", "/berths/7");
+    REQUIRE(mesh.run([&] { return shortAnswer->done; }));
+    CHECK(shortAnswer->status == 200);
+    CHECK(received() - before <= 2);
+    REQUIRE(mesh.run([&] { return received() == archives; }));
+    for (const auto& it : large) {
+        CHECK(it->status == 200);
+        CHECK(it->body.size() == 90 * 1000);
+    }
+}
+
 // Guards against a read that is given up after a second of silence although nothing else can answer it: its upstream is at
 // work, its node's link is congested, and there is no other upstream, or none that takes it.
 TEST_CASE("a read goes on over a silent link unless another upstream answers it", "[edge]")
