Large answers are sent at the pace of the host's link

Meter reads ended 500 since the lookup inside them had no answer within 600 ms (2,729 answers 500), statuses came late (2,646 of 8,230).

Cause: a host's network link is shared by all answers of its upstream, and nothing decided their order or their number. The owner wrote an archive of 90 KB to its link as soon as the upstream had delivered it. With a zone evacuated ten hosts of berthview carry the archives of sixteen: some 0.6 of the 0.75 MB/s of a link. The link transmits in order, so a lookup of 55 ms waits for all archives before it. Its caller repeats it, which fills the link further: that is why the trouble lasted four times as long as the burst.

Change: answers above 16 KiB are sent in pieces. Of these a bounded number of bytes is on the way over all links of the host; the bound follows the time within which receivers acknowledge pieces (policy/answer_pacing), so it needs to know neither rate nor distance. Short answers, heartbeats and claims pass at once. The fewest remaining bytes go first. The upstream's slot is free as soon as it has delivered an answer, as before; a stopping owner keeps a link until its answers are written. The least window is two pieces: with one, a link whose acknowledgements take longer than a piece's transmission carried a third of its rate in the new test (225 of 750 KB/s).

The replay of a link of 6 Mbit/s: 95 of 100 short answers within 100 ms at 0.6 to 1.2 times its rate, unpaced 200 ms and more, as many bytes in all; links up to 1 Gbit/s and 25 ms away are filled to 0.95.

The node test failed before: 12 of 12 large answers were received first, now 2 at most; its relay now limits the rate in steps of 2 ms instead of 10, since bursts of 10 ms are longer than the queue that is aimed at; unpaced it fails with that as well (8 of 12 first, then 504).

--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -51,7 +51,7 @@
     base::Duration usualRun {}; // recent run time of the route there over all callers; zero: not known
 };
 
-constexpr uint64_t maxShortAnswerBytes = 16 * 1024; // of a body; metrics tell short answers from large ones
+constexpr uint64_t maxShortAnswerBytes = 16 * 1024; // of a body; larger answers are sent at the pace of the host's link
 
 // Name of a request in the logs: the caller's request id, or else `own`, this process's number.
 std::string requestLogName(const std::vector<http::HeaderField>& headers, const std::string& idHeader, uint64_t own);
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -20,8 +20,8 @@
 
 struct OwnerLinks::InboundLink {
     std::unique_ptr<inner::NodeLink> link;
-    std::map<uint64_t, OwnerCallId> calls; // peer's call id to local call id
-    std::map<uint64_t, uint64_t> sentBytes; // body bytes by the peer's call id
+    policy::ConnectionNumber number;
+    std::map<uint64_t, OwnerCallId> calls; // peer's call id to local call id, until the run has ended
 };
 
 OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim)
@@ -29,6 +29,7 @@
     , m_membership(&membership)
     , m_owner(&owner)
     , m_onClaim(std::move(onClaim))
+    , m_answers(loop)
 {
 }
 
@@ -70,6 +71,36 @@
     handler.message = [this, it](inner::NodeLink&, LinkMessage::Reader message) { onMessage(*it, message); };
     handler.down = [this, it](inner::NodeLink&, const base::Error& error) { onDown(*it, error); };
     it->link = inner::NodeLink::accept(m_loop, fd, *m_membership, std::move(handler));
+    it->number = m_answers.addLink({ [it](uint64_t id, evbuffer* body) { writeBody(*it->link, id, body); },
+        [it](uint64_t id, const CallEnd& end, uint64_t bodyBytes) { writeEnd(*it->link, id, end, bodyBytes); } });
+}
+
+void OwnerLinks::writeBody(inner::NodeLink& link, uint64_t id, evbuffer* body)
+{
+    const size_t n = evbuffer_get_length(body);
+    capnp::MallocMessageBuilder out(static_cast<unsigned>(n / sizeof(capnp::word) + 64));
+    auto message = out.initRoot<LinkMessage>().initAnswerBody();
+    message.setId(id);
+    evbuffer_remove(body, message.initData(static_cast<unsigned>(n)).begin(), n);
+    link.send(out);
+}
+
+void OwnerLinks::writeEnd(inner::NodeLink& link, uint64_t id, const CallEnd& end, uint64_t bodyBytes)
+{
+    capnp::MallocMessageBuilder out;
+    if (end.error) {
+        writeRefused(out.initRoot<LinkMessage>().initRefused(), id, end);
+    } else {
+        auto message = out.initRoot<LinkMessage>().initAnswerEnd();
+        message.setId(id);
+        message.setBodyBytes(bodyBytes);
+        message.setRunMicros(static_cast<uint64_t>(end.runMicros));
+        message.setOwnerMicros(static_cast<uint64_t>(end.ownerMicros));
+        message.setUsualRunMs(static_cast<uint32_t>(end.usualRun.ms));
+        if (end.load)
+            writeLoad(message.initLoad(), *end.load);
+    }
+    link.send(out);
 }
 
 void OwnerLinks::onDown(InboundLink& it, const base::Error& error)
@@ -80,6 +111,7 @@
     const std::map<uint64_t, OwnerCallId> calls = std::move(it.calls);
     for (const auto& [theirs, ours] : calls)
         m_owner->cancel(ours);
+    m_answers.removeLink(it.number);
     m_links.remove_if([&](const auto& link) { return link.get() == &it; });
 }
 
@@ -89,18 +121,20 @@
     case LinkMessage::CALL:
         return onCall(it, message.getCall());
     case LinkMessage::CANCEL: {
+        m_answers.cancel({ it.number, message.getCancel() });
         auto found = it.calls.find(message.getCancel());
         if (found == it.calls.end())
             return;
         m_owner->cancel(found->second);
-        it.sentBytes.erase(found->first);
         it.calls.erase(found);
         return;
     }
     case LinkMessage::CREDIT: {
-        auto found = it.calls.find(message.getCredit().getId());
+        const auto credit = message.getCredit();
+        m_answers.acknowledged({ it.number, credit.getId() }, credit.getBytes());
+        auto found = it.calls.find(credit.getId());
         if (found != it.calls.end())
-            m_owner->consumed(found->second, message.getCredit().getBytes());
+            m_owner->consumed(found->second, credit.getBytes());
         return;
     }
     case LinkMessage::CLAIM:
@@ -122,54 +156,31 @@
             weak = link;
     }
     CallHandler handler;
-    handler.head = [weak, id](const http::AnswerHead& head) {
+    handler.head = [this, weak, id](const http::AnswerHead& head) {
         auto accepted = weak.lock();
         if (!accepted)
             return;
         capnp::MallocMessageBuilder out;
         writeHead(out.initRoot<LinkMessage>().initAnswerHead(), id, head);
         accepted->link->send(out);
+        m_answers.begin({ accepted->number, id }, head.length);
     };
-    handler.body = [weak, id](evbuffer* buf) {
-        auto accepted = weak.lock();
-        const size_t n = evbuffer_get_length(buf);
-        if (accepted) {
-            capnp::MallocMessageBuilder out(static_cast<unsigned>(n / sizeof(capnp::word) + 64));
-            auto body = out.initRoot<LinkMessage>().initAnswerBody();
-            body.setId(id);
-            evbuffer_remove(buf, body.initData(static_cast<unsigned>(n)).begin(), n);
-            accepted->sentBytes[id] += n;
-            accepted->link->send(out);
-        } else
-            evbuffer_drain(buf, n);
+    handler.body = [this, weak, id](evbuffer* buf) {
+        if (auto accepted = weak.lock())
+            m_answers.body({ accepted->number, id }, buf);
+        else
+            evbuffer_drain(buf, evbuffer_get_length(buf));
     };
     handler.end = [this, weak, id](const CallEnd& end) {
-        if (auto accepted = weak.lock())
-            sendEnd(*accepted, id, end);
+        auto accepted = weak.lock();
+        if (!accepted)
+            return;
+        accepted->calls.erase(id);
+        m_answers.end({ accepted->number, id }, end);
     };
     it.calls[id] = m_owner->start(readCall(message, base::steadyNow()), std::move(handler));
 }
 
-void OwnerLinks::sendEnd(InboundLink& it, uint64_t id, const CallEnd& end)
-{
-    capnp::MallocMessageBuilder out;
-    if (end.error) {
-        writeRefused(out.initRoot<LinkMessage>().initRefused(), id, end);
-    } else {
-        auto message = out.initRoot<LinkMessage>().initAnswerEnd();
-        message.setId(id);
-        message.setBodyBytes(it.sentBytes[id]);
-        message.setRunMicros(static_cast<uint64_t>(end.runMicros));
-        message.setOwnerMicros(static_cast<uint64_t>(end.ownerMicros));
-        message.setUsualRunMs(static_cast<uint32_t>(end.usualRun.ms));
-        if (end.load)
-            writeLoad(message.initLoad(), *end.load);
-    }
-    it.link->send(out);
-    it.calls.erase(id);
-    it.sentBytes.erase(id);
-}
-
 void OwnerLinks::onClaim(InboundLink& it, inner::wire::Claim::Reader message)
 {
     const uint64_t id = message.getId();
@@ -195,8 +206,10 @@
 {
     if (m_listener)
         evconnlistener_free(std::exchange(m_listener, nullptr));
-    for (const auto& it : m_links)
-        it->link->finish();
+    for (const auto& it : m_links) {
+        if (!m_answers.hasAnswers(it->number))
+            it->link->finish();
+    }
 }
 
 void OwnerLinks::broadcastLoad(const policy::Load& load)
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "appletally/inner/node_link.h"
+#include "appletally/node/answer_sender.h"
 #include "appletally/node/owner.h"
 
 #include <event2/listener.h>
@@ -42,12 +43,14 @@
     void onCall(InboundLink&, inner::wire::Call::Reader);
     void onClaim(InboundLink&, inner::wire::Claim::Reader);
     void onDown(InboundLink&, const base::Error&);
-    void sendEnd(InboundLink&, uint64_t id, const CallEnd&);
+    static void writeBody(inner::NodeLink&, uint64_t id, evbuffer*); // drains the buffer
+    static void writeEnd(inner::NodeLink&, uint64_t id, const CallEnd&, uint64_t bodyBytes);
 
     event_base* m_loop;
     const inner::Membership* m_membership;
     Owner* m_owner;
     OnClaim m_onClaim;
+    AnswerSender m_answers;
     evconnlistener* m_listener = nullptr;
     std::list<std::shared_ptr<InboundLink>> m_links;
     InnerCounts m_counts;
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -278,7 +278,7 @@
     // Bytes of the target's answers that pass in a second.
     void setRate(size_t bytesPerSecond)
     {
-        constexpr size_t ticksPerSecond = 100;
+        constexpr size_t ticksPerSecond = 500;
         const timeval tick { 0, 1'000'000 / ticksPerSecond };
         ev_token_bucket_cfg* rate = ev_token_bucket_cfg_new(bytesPerSecond / ticksPerSecond, bytesPerSecond / ticksPerSecond, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
         bufferevent_set_rate_limit(server, rate);
