--- a/tests/shared_read_test.cpp
+++ b/tests/shared_read_test.cpp
@@ -33,6 +33,19 @@
     }
 };
 
+// The endpoint of a host whose node has just ended, and whose record has not expired.
+config::Endpoint endedHost(const TestNode& like)
+{
+    config::Endpoint out;
+    for (const inner::FromNode& it : like.toControl) {
+        if (const auto* announced = std::get_if<inner::EndpointAnnounced>(&it))
+            out = announced->endpoint;
+    }
+    out.host = { "ended" };
+    out.inner.port = 1; // refuses connections
+    return out;
+}
+
 } // namespace
 
 TEST_CASE("identical concurrent reads of a caller share one run, and each gets the complete answer", "[hot-caller]")
@@ -126,3 +139,47 @@
     };
     CHECK(mesh.run([&] { return running() == 0; }));
 }
+
+// Guards against a read that waits for its deadline since the host that it was sent to first took no work, as in each release,
+// and the next one pauses.
+TEST_CASE("a read that was moved from one host gets a copy when the next one pauses", "[slow-upstream]")
+{
+    TestMesh mesh;
+    TestUpstream paused(mesh.loop());
+    TestUpstream quick(mesh.loop());
+    TestNode& a = mesh.addNode("a", "z1");
+    TestNode& b = mesh.addNode("b", "z2"); // farther, so other hosts are preferred
+    TestNode& c = mesh.addNode("c", "z1");
+    constexpr int slots = 100; // a tenth is used at the start; one request held must not fill a host
+    mesh.announce(a, paused, "ready", slots);
+    mesh.announce(b, quick, "ready", slots);
+    mesh.applyEverywhere("examples/berthgrid.json");
+    const auto ask = [&](const std::string& target) { return mesh.ask(c, "GET", target, { "Appletally-Timeout-Ms: 2500" }); };
+    const auto retried = [&] {
+        c.fromControl.send(inner::DumpRequested { 1 });
+        event_base_loop(mesh.loop(), EVLOOP_NONBLOCK);
+        return base::Json::parse(std::get<inner::DumpAnswered>(c.toControl.back()).json)["ingress"]["counts"]["retried"].get<int>();
+    };
+    paused.delay = quick.delay = base::Duration { 5 };
+    for (int n = 0; n < 60; ++n) { // hedging needs to know how long answers take
+        const auto answer = ask("/berths/" + std::to_string(n));
+        REQUIRE(mesh.run([&] { return answer->done; }));
+    }
+    for (const auto& [node, upstream] : { std::pair { &a, &paused }, std::pair { &b, &quick } })
+        mesh.announce(*node, *upstream, "ready", slots); // again, as an upstream does, or it expires
+    paused.hold = true;
+    const auto other = ask("/archive/1"); // keeps its host busier than the one that has ended; its route is not hedged yet
+    REQUIRE(mesh.run([&] { return paused.held.size() == 1; }));
+
+    config::Endpoint ended = endedHost(a);
+    for (int n = 0; n < 5 && paused.held.size() == 1; ++n) { // one pick in 64 goes anywhere
+        ++ended.incarnation.value;
+        c.fromControl.send(inner::EndpointsChanged { { ended } });
+        const int before = retried();
+        const auto read = ask("/berths/" + std::to_string(100 + n));
+        REQUIRE(mesh.run([&] { return read->done; }));
+        CHECK(read->status == 200);
+        CHECK(retried() == before + 1);
+    }
+    CHECK(paused.held.size() == 2);
+}
