A read that was moved to another host is hedged like any other

A read that one host had not taken (it ended, was leaving, was full or evacuated) and that was moved to another one which pauses waited until its deadline: 504, although a third host would have answered in 5 ms.

Cause: the copy of a late read was tied to the first attempt: the timer ran for it only, and a copy was sent only if the request had had one attempt. A refusal that reached no upstream is an attempt too.

Change: the timer runs for each attempt, and there is one copy for each request. Counted against the route's attempts is what an upstream may have received, so that a copy never goes to more upstreams than the configuration allows; a route of one attempt got a copy before, and gets none now.

--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -51,6 +51,8 @@
     bool mayHaveRun = false; // an earlier attempt ended with its outcome unknown
     std::optional<base::Error> firstRefusal; // of the first refused attempt; its retryAfter is the shortest of all refusals
     int attemptCount = 0;
+    int spentAttempts = 0; // ended ones that an upstream may have received
+    bool hedged = false; // a copy was sent because an answer was late
     std::vector<base::HostId> attemptedHosts;
     std::vector<std::unique_ptr<Attempt>> activeAttempts;
 
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -92,7 +92,7 @@
     const Duration took = now - attempt.sentAt;
     policy::answered(m_routers[it.call.service], { attempt.pick.host, it.route->name, kind, took, end.load, { attempt.bodyBytes }, Duration { end.runMicros / 1000 }, end.usualRun }, now);
     // A first attempt that lost to its hedge counts too; otherwise the slowest would be missing from the estimate.
-    const bool lostToHedge = kind == AnswerKind::Cancelled && it.attemptCount == 2 && it.activeAttempts.size() > 0;
+    const bool lostToHedge = kind == AnswerKind::Cancelled && it.hedged && it.activeAttempts.size() > 0;
     if (!attempt.isHedge && (kind == AnswerKind::Good || lostToHedge))
         policy::observe(m_slowAnswers[it.route->name], took);
 }
@@ -158,6 +158,7 @@
     }
     recordOutcome(it, *ending, kindOf(*error), end);
     it.mayHaveRun |= !base::info(error->code).notRun;
+    it.spentAttempts += policy::mayHaveReachedUpstream(error->code) ? 1 : 0;
     if (error->code == Code::VersionRolledBack)
         stopVersion(it, ending->pick);
     if (it.activeAttempts.empty())
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -184,8 +184,8 @@
     if (it.attemptCount == 0) {
         policy::accrue(m_retries[it.call.service], now);
         policy::accrue(m_hedges[it.call.service], now);
-        armHedge(it);
     }
+    armHedge(it);
     startAttempt(it, *pick, false);
 }
 
@@ -231,8 +231,8 @@
     }
 }
 
-// Sends a copy of a read whose attempts are all at silent hosts. The earlier attempts go on: their upstreams may be at work, and
-// their answers may only be late.
+// Sends a copy of a read whose attempts are all at silent hosts. The earlier attempts go on: their upstreams may be at
+// work, and their answers may only be late.
 void Ingress::copyElsewhere(ActiveRequest& it, const base::Error& error)
 {
     const auto other = pickFor(it);
@@ -331,7 +331,8 @@
 
 void Ingress::onHedgeTimer(ActiveRequest& it)
 {
-    const bool useful = it.activeAttempts.size() == 1 && it.attemptCount == 1 && !it.streaming;
+    const int attempts = it.spentAttempts + static_cast<int>(it.activeAttempts.size());
+    const bool useful = it.activeAttempts.size() == 1 && !it.hedged && !it.streaming && attempts < it.route->maxAttempts;
     if (!useful)
         return;
     const Time now = base::steadyNow();
@@ -343,6 +344,7 @@
         return;
     }
     ++m_counts.hedged;
+    it.hedged = true;
     startAttempt(it, *pick, true);
 }
 
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -128,6 +128,12 @@
     return { true, pause, base::Code::Ok };
 }
 
+bool mayHaveReachedUpstream(base::Code code)
+{
+    const Kind kind = kindOf(code);
+    return kind != Kind::Moved && kind != Kind::NoRoom;
+}
+
 base::Duration retryAfterShed(base::Duration usualRun, uint64_t random)
 {
     const base::Duration run = std::clamp(usualRun, minShedPause, maxShedPause);
--- a/src/appletally/policy/retry.h
+++ b/src/appletally/policy/retry.h
@@ -52,6 +52,10 @@
 void accrue(RetryBudget&, base::Time now); // at each first attempt
 RetryDecision mayRetry(RetryBudget&, const FailedAttempt&, base::Time now, uint64_t random);
 
+// Whether an attempt that ended so may have reached an upstream and counts against the route's attempts. Otherwise a node has
+// rejected it before.
+bool mayHaveReachedUpstream(base::Code);
+
 // When a caller may send a request again that its upstream refused though this node had let it in: a slot is free there after
 // about a usual run. Spread over as long again, so that callers refused together do not return together.
 base::Duration retryAfterShed(base::Duration usualRun, uint64_t random);
