A copy of a late read that is turned away goes to another host

A read waits at a paused host, its copy goes to a host that takes no work, and no other copy is sent.

Cause: when one of two attempts ended without an answer the other one was left to decide, whatever it was. A host whose record has not expired looks idle, so it is the likely choice for a copy. This is how the listed test fails: its upstreams announce themselves once and expire after 3 s, and the copy goes to the one that has just expired.

Change: a copy that a node rejected before any upstream received it is sent elsewhere, within the limits of such moves; it costs no further token, as no upstream has seen the first.

--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -161,9 +161,10 @@
     it.spentAttempts += policy::mayHaveReachedUpstream(error->code) ? 1 : 0;
     if (error->code == Code::VersionRolledBack)
         stopVersion(it, ending->pick);
+    const bool copyTurnedAway = ending->isHedge && !policy::mayHaveReachedUpstream(error->code);
     if (it.activeAttempts.empty())
         onFailedAttempt(it, *error);
-    else if (waitsForSilentHosts(it)) // otherwise another attempt decides
+    else if (copyTurnedAway || waitsForSilentHosts(it)) // otherwise another attempt decides
         copyElsewhere(it, *error);
 }
 
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -231,7 +231,7 @@
     }
 }
 
-// Sends a copy of a read whose attempts are all at silent hosts. The earlier attempts go on: their upstreams may be at
+// Sends a copy of a read whose attempts are all late or at silent hosts. The earlier attempts go on: their upstreams may be at
 // work, and their answers may only be late.
 void Ingress::copyElsewhere(ActiveRequest& it, const base::Error& error)
 {
--- a/tests/shared_read_test.cpp
+++ b/tests/shared_read_test.cpp
@@ -217,3 +217,14 @@
     }
     CHECK(moved);
 }
+
+// Guards against a read that waits for its deadline since the host that its copy was sent to takes no work.
+TEST_CASE("a copy of a late read that is turned away goes to another host", "[slow-upstream]")
+{
+    PausingUpstream it;
+    const auto read = it.ask("/berths/100");
+    REQUIRE(it.mesh.run([&] { return it.paused.held.size() == 2 || read->done; }));
+    it.showEndedHost();
+    REQUIRE(it.mesh.run([&] { return read->done; }));
+    CHECK(read->status == 200);
+}
