Metrics of large answers that wait for a host's link

Cause: whether a host's link is what binds could be seen at callers' nodes only (appletally_answer_transit_ms).

Change: two gauges at the owner, bytes of large answers that wait for the link, and bytes that it lets be on the way at once. The test of a full link reads the first.

--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -25,6 +25,8 @@
     { "appletally_upstream_leaving", MetricKind::Gauge, "1 if the upstream said in an answer that it leaves" },
     { "appletally_upstream_notices_unreadable_total", MetricKind::Counter, "values of the header fields of limit and leaving that could not be read and were ignored, by field" },
     { "appletally_upstream_connections_total", MetricKind::Counter, "connections to the upstream used, by kind, and unsolicited data on them" },
+    { "appletally_answer_waiting_bytes", MetricKind::Gauge, "bytes of large answers that wait at the owner for the host's network link" },
+    { "appletally_answer_window_bytes", MetricKind::Gauge, "bytes of large answers that the owner lets be on the way at once" },
     { "appletally_config_version", MetricKind::Gauge, "configuration version applied here; 0: none" },
     { "appletally_control_reachable", MetricKind::Gauge, "1: linked to a control process" },
     { "appletally_known_upstreams", MetricKind::Gauge, "upstreams that this process knows, by state" },
--- a/src/appletally/node/answer_sender.cpp
+++ b/src/appletally/node/answer_sender.cpp
@@ -93,6 +93,15 @@
     return first != m_answers.end() && first->first.connection == link;
 }
 
+void AnswerSender::writeMetrics(base::MetricsText& out) const
+{
+    size_t waiting = 0;
+    for (const auto& [id, it] : m_answers)
+        waiting += it.waiting ? evbuffer_get_length(it.waiting.get()) : 0;
+    out.add("appletally_answer_waiting_bytes", "", static_cast<double>(waiting));
+    out.add("appletally_answer_window_bytes", "", m_pacing.window);
+}
+
 void AnswerSender::write(AnswerId id, Answer& it, evbuffer* buf)
 {
     it.sentBytes += evbuffer_get_length(buf);
--- a/src/appletally/node/answer_sender.h
+++ b/src/appletally/node/answer_sender.h
@@ -3,6 +3,7 @@
 // them.
 #pragma once
 
+#include "appletally/base/metrics_text.h"
 #include "appletally/node/call.h"
 #include "appletally/policy/answer_pacing.h"
 
@@ -37,6 +38,7 @@
 
     void acknowledged(policy::AnswerId, uint64_t bytes); // the other node has received them
     bool hasAnswers(policy::ConnectionNumber) const; // that have not been written in full
+    void writeMetrics(base::MetricsText&) const;
 
 private:
     struct FreeBuffer {
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -209,6 +209,7 @@
     base::MetricsText out;
     m_ingress.writeMetrics(out);
     m_owner.writeMetrics(out);
+    m_ownerLinks.writeMetrics(out);
     out.add("appletally_config_version", "", static_cast<double>(m_snapshot ? m_snapshot->version.value : 0));
     out.add("appletally_control_reachable", "", m_controlReachable ? 1 : 0);
     out.add("appletally_node_links", "direction=\"in\"", static_cast<double>(m_ownerLinks.links()));
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -35,6 +35,7 @@
     void finish(); // accepts no more links, and ends each one after its peer has received all answers; idempotent
     const InnerCounts& counts() const { return m_counts; }
     size_t links() const { return m_links.size(); }
+    void writeMetrics(base::MetricsText& out) const { m_answers.writeMetrics(out); }
 
 private:
     struct InboundLink;
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -408,6 +408,7 @@
     REQUIRE(mesh.run([&] { return dumpOf(mesh, nodes.owner)["owner"]["load"]["running"].get<int>() == 0 && nodes.upstream.runs == archives + 1; }));
     const auto received = [&] { return std::count_if(large.begin(), large.end(), [](const auto& it) { return it->done; }); };
     const auto before = received();
+    CHECK(nodes.owner.node->metrics().find("appletally_answer_waiting_bytes 0\n") == std::string::npos);
 
     nodes.upstream.bodyBytes = 1000;
     const auto shortAnswer = mesh.ask(nodes.ingress, "GET", "/berths/7");
@@ -419,6 +420,7 @@
         CHECK(it->status == 200);
         CHECK(it->body.size() == 90 * 1000);
     }
+    CHECK(nodes.owner.node->metrics().find("appletally_answer_waiting_bytes 0\n") != std::string::npos);
 }
 
 // Guards against a read that is given up after a second of silence although nothing else can answer it: its upstream is at
