Answers of unknown length go on after a pause; a stalled connection gets no further pieces

Cause: found in reading the pacing of large answers before it landed, no caller has seen it. An answer without a length was taken for delivered as soon as all of its bytes so far were acknowledged; what its upstream sent after a pause then waited for ever. And a connection that acknowledges nothing could take the window again after each 250 ms, if its answer had the fewest bytes left.

Change: an answer is over when its upstream has ended it. A connection with a piece that has ceased to count gets no further one until that is acknowledged.

--- a/src/appletally/policy/answer_pacing.cpp
+++ b/src/appletally/policy/answer_pacing.cpp
@@ -50,7 +50,27 @@
             for (Piece& piece : answer.pieces)
                 if (now - piece.sentAt >= maxCountedTime)
                     stopCounting(it, piece);
-        std::erase_if(it.answers, [](const auto& entry) { return entry.second.remaining == 0 && !hasCounted(entry.second); });
+        std::erase_if(it.answers, [](const auto& entry) { return entry.second.ended && entry.second.remaining == 0 && !hasCounted(entry.second); });
+    }
+
+    bool isStalled(const AnswerPacing& it, ConnectionNumber connection)
+    {
+        for (auto at = it.answers.lower_bound({ connection, 0 }); at != it.answers.end() && at->first.connection == connection; ++at)
+            if (!at->second.pieces.empty() && !at->second.pieces.front().counted)
+                return true;
+        return false;
+    }
+
+    // The answer to be continued; null: none has bytes ready and a connection that takes them.
+    std::map<AnswerId, Answer>::value_type* findNext(AnswerPacing& it)
+    {
+        std::map<AnswerId, Answer>::value_type* next = nullptr;
+        for (auto& entry : it.answers) {
+            const bool better = !next || entry.second.remaining < next->second.remaining;
+            if (entry.second.ready > 0 && better && !isStalled(it, entry.first.connection))
+                next = &entry;
+        }
+        return next;
     }
 
     base::Duration queueingDelay(AnswerPacing& it, ConnectionNumber connection, base::Duration took)
@@ -70,12 +90,6 @@
         it.window = std::clamp(it.window + windowGain * offTarget * static_cast<double>(bytes), minWindow, maxWindow);
     }
 
-    bool goesBefore(const Answer& a, const Answer& b)
-    {
-        const bool isReady = a.ready > 0;
-        return isReady != (b.ready > 0) ? isReady : a.remaining < b.remaining;
-    }
-
 } // namespace
 
 void beginAnswer(AnswerPacing& it, AnswerId id, uint64_t length) { it.answers[id].remaining = length; }
@@ -92,8 +106,10 @@
 void endAnswer(AnswerPacing& it, AnswerId id)
 {
     const auto at = it.answers.find(id);
-    if (at != it.answers.end())
-        at->second.remaining = at->second.ready;
+    if (at == it.answers.end())
+        return;
+    at->second.remaining = at->second.ready;
+    at->second.ended = true;
 }
 
 void bytesAcknowledged(AnswerPacing& it, AnswerId id, uint64_t bytes, base::Time now)
@@ -139,8 +155,8 @@
 std::optional<NextPiece> nextPiece(AnswerPacing& it, base::Time now)
 {
     stopCountingOverdue(it, now);
-    const auto next = std::min_element(it.answers.begin(), it.answers.end(), [](const auto& a, const auto& b) { return goesBefore(a.second, b.second); });
-    if (next == it.answers.end() || next->second.ready == 0)
+    auto* const next = findNext(it);
+    if (!next)
         return std::nullopt;
     Answer& answer = next->second;
     const uint64_t bytes = std::min(answer.ready, pieceBytes);
--- a/src/appletally/policy/answer_pacing.h
+++ b/src/appletally/policy/answer_pacing.h
@@ -39,6 +39,7 @@
     struct Answer {
         uint64_t remaining = 0; // bytes not sent yet
         uint64_t ready = 0; // the part of `remaining` that the upstream has delivered
+        bool ended = false; // no more bytes become ready
         std::deque<Piece> pieces; // sent and not acknowledged, oldest first
     };
 
@@ -64,7 +65,8 @@
 void removeConnection(AnswerPacing&, ConnectionNumber);
 
 // Call until there is none, after each of the above and at nextPacingTick(). The piece counts as sent. The answer with the
-// fewest remaining bytes goes first, so that the most callers get theirs in time.
+// fewest remaining bytes goes first, so that the most callers get theirs in time. A connection with a piece that has ceased to
+// count gets no further one until that is acknowledged.
 std::optional<NextPiece> nextPiece(AnswerPacing&, base::Time now);
 std::optional<base::Time> nextPacingTick(const AnswerPacing&); // when the next piece ceases to count; none: no piece counts
 
--- a/tests/answer_pacing_test.cpp
+++ b/tests/answer_pacing_test.cpp
@@ -156,7 +156,7 @@
         it.offerLarge(far, 90'000);
     for (int n = 0; n < 4; ++n)
         it.offerLarge(near, 91'000);
-    while (it.now < 5000)
+    while (it.now < 1000) // twice what the second four need by themselves
         it.step();
     const auto left = std::count_if(it.pacing.answers.begin(), it.pacing.answers.end(), [](const auto& entry) { return entry.first.connection == near; });
     CHECK(left == 0);
@@ -201,3 +201,23 @@
     bytesReady(it, small, 60'000);
     CHECK(nextPiece(it, Time {})->answer == small);
 }
+
+// Guards against an answer without a length that is never finished, since its upstream paused when all before was delivered.
+TEST_CASE("an answer of unknown length goes on after all of its first bytes are delivered", "[policy][pacing]")
+{
+    policy::AnswerPacing it;
+    const policy::AnswerId id { near, 1 };
+    beginAnswer(it, id, 0);
+    bytesReady(it, id, policy::pieceBytes);
+    REQUIRE(nextPiece(it, Time {}));
+    bytesAcknowledged(it, id, policy::pieceBytes, Time { 2 });
+    CHECK_FALSE(nextPiece(it, Time { 2 }));
+    bytesReady(it, id, 100);
+    const auto rest = nextPiece(it, Time { 900 });
+    REQUIRE(rest);
+    CHECK(rest->bytes == 100);
+    endAnswer(it, id);
+    bytesAcknowledged(it, id, 100, Time { 902 });
+    CHECK_FALSE(nextPiece(it, Time { 902 }));
+    CHECK(it.answers.empty());
+}
