A digest in lines of a request, and whether its upstream ended

No line said that two sends were of the same request, so one request that ends upstreams looked like many that each lost an answer; and a lost answer looked like an upstream that ended under the run, though only the first is helped by a repeat.

Lines 511, 513, 502, 522 and 524 carry a digest of service, method, target and body. When a run's connection closes early, its owner connects to the upstream once more, before it reports the call: refused means ended, which 413 and appletally_upstream_ends_total tell with the digests of all that ran. An accepted connection serves the next request. No decision uses it yet.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -50,6 +50,7 @@
     UpstreamNoticeUnreadable = 410,
     UpstreamCold = 411,
     UpstreamWarm = 412,
+    UpstreamEnded = 413,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/base/ids.h
+++ b/src/appletally/base/ids.h
@@ -43,6 +43,7 @@
 using Incarnation = Number<struct IncarnationTag>; // one start of a process; later starts have higher numbers
 using Sequence = Number<struct SequenceTag>; // counted within one incarnation
 using KeeperSetNumber = Number<struct KeeperSetTag>; // number of a keeper set that control has agreed on
+using RequestDigest = Number<struct RequestDigestTag>; // hash of what makes two requests the same: service, method, target, body
 using AttemptId = Number<struct AttemptTag>; // one attempt of one request; random, never reused
 
 struct Bytes {
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -136,12 +136,27 @@
         setsockopt(bufferevent_getfd(buffers), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
         if (call)
             send(*call);
+        else
+            onDialedIdle();
         return;
     }
+    if (const auto done = std::exchange(onDialed, {})) {
+        client.drop(*this);
+        return done((what & BEV_EVENT_TIMEOUT) != 0); // a frozen process does not refuse
+    }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
         onClosed((what & BEV_EVENT_EOF) != 0);
 }
 
+void UpstreamConnection::onDialedIdle()
+{
+    const auto done = std::exchange(onDialed, {});
+    idleTimeout = client.m_limits.maxIdleTimeUnused;
+    client.keepIdle(*this);
+    if (done)
+        done(true);
+}
+
 void UpstreamConnection::onReadable()
 {
     if (!call) {
@@ -284,6 +299,12 @@
     return it;
 }
 
+void UpstreamClient::checkListening(std::function<void(bool listening)> done)
+{
+    ++m_counts.dialed;
+    dial()->onDialed = std::move(done);
+}
+
 // Takes the most recently used connection, since it is the least likely to be closed by the upstream.
 UpstreamConnection* UpstreamClient::takeIdle(bool idempotent)
 {
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -56,6 +56,7 @@
     base::Duration maxIdleTime { 4000 }; // upper limit; also limited to the upstream's Keep-Alive timeout less one second
     base::Duration maxIdleTimeNotIdempotent { 1000 }; // for requests that must not be repeated
     base::Duration connectTimeout { 1000 }; // the upstream is on this host: if connecting takes longer, it is not running
+    base::Duration maxIdleTimeUnused { 1000 }; // of a connection that has carried no request; the upstream has named no timeout
     size_t maxIdleConnections = 32; // an upstream runs fewer requests at once
 };
 
@@ -96,6 +97,9 @@
 
     // The pointer is valid until `end` is called or the call is cancelled. start() itself calls no callback.
     UpstreamCall* start(UpstreamRequest, UpstreamHandler);
+    // Connects once: tells a process that ended from one that closed a single connection. `done` gets false if the
+    // connection is refused. One that is accepted serves a later request.
+    void checkListening(std::function<void(bool listening)> done);
     const base::Address& address() const { return m_address; }
     size_t idleConnections() const { return m_idle.size(); }
     const ClientCounts& counts() const { return m_counts; }
--- a/src/appletally/http/upstream_connection.h
+++ b/src/appletally/http/upstream_connection.h
@@ -17,6 +17,7 @@
     void send(UpstreamCall&);
     void onReadable();
     void onEvent(short what);
+    void onDialedIdle();
     bool step(); // false: wait for more bytes
     void onAnswerHead();
     void onAnswerEnd();
@@ -26,6 +27,7 @@
     UpstreamClient& client;
     bufferevent* buffers = nullptr;
     UpstreamCall* call = nullptr; // null: idle
+    std::function<void(bool listening)> onDialed; // of checkListening(), until the outcome is known
     MessageReader reader;
     bool connected = false;
     bool dropped = false;
--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -40,6 +40,7 @@
     std::shared_ptr<const config::Snapshot> snapshot; // applied when the request arrived
     const config::Route* route = nullptr; // points into `snapshot`
     Call call;
+    base::RequestDigest digest;
     base::Time startedAt;
     base::Duration earlierWait; // estimated time that the caller has spent on earlier sends
     int64_t startedMicros = 0;
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -5,6 +5,7 @@
 #include "appletally/base/loop_time.h"
 #include "appletally/inner/cluster_key.h"
 #include "appletally/node/ingress_reply.h"
+#include "appletally/node/request_digest.h"
 
 #include <algorithm>
 
@@ -364,7 +365,7 @@
     if (notRun)
         ++m_counts.refusedBy[{ it.call.service, error.code }];
     base::logRequest(notRun ? base::Event::RequestRefused : base::Event::OutcomeLost, it.name,
-        { { "route", it.route->name.text }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "took_ms", (base::steadyNow() - it.startedAt).ms },
+        { { "route", it.route->name.text }, { "digest", digestText(it.digest) }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount }, { "took_ms", (base::steadyNow() - it.startedAt).ms },
             { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "retry_after_ms", error.retryAfter.ms }, { "config_version", static_cast<int64_t>(it.snapshot->version.value) } });
     it.exchange->onGone = nullptr;
     it.exchange->onDrained = nullptr;
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -5,6 +5,7 @@
 #include "appletally/base/loop_time.h"
 #include "appletally/inner/cluster_key.h"
 #include "appletally/node/ingress_reply.h"
+#include "appletally/node/request_digest.h"
 
 #include <algorithm>
 #include <strings.h>
@@ -123,6 +124,7 @@
         it.call.headers.push_back({ names.service, m_settings.service.text });
     }
     it.call.body = request.body;
+    it.digest = digestOf(it.call);
     it.call.deadline = it.startedAt + Duration { std::clamp<int64_t>(requestedTimeout, 1, route.timeout.ms) };
     it.call.caller = { caller ? *caller : request.peerIp };
     it.call.key = { key ? *key : "" };
@@ -313,7 +315,7 @@
         return;
     const policy::Target& target = found->second;
     base::logRequest(base::Event::RequestSent, it.name,
-        { { "route", it.route->name.text }, { "service", it.call.service.text }, { "upstream", attempt.pick.host.text }, { "version", attempt.pick.version.text }, { "try", it.attemptCount },
+        { { "route", it.route->name.text }, { "service", it.call.service.text }, { "digest", digestText(it.digest) }, { "upstream", attempt.pick.host.text }, { "version", attempt.pick.version.text }, { "try", it.attemptCount },
             { "left_ms", (it.call.deadline - attempt.sentAt).ms }, { "in_flight", target.inFlight }, { "running", target.load.running }, { "waiting", target.load.waiting }, { "slots", target.load.slots },
             { "load_age_ms", (attempt.sentAt - target.loadAt).ms }, { "config_version", static_cast<int64_t>(it.snapshot->version.value) } });
 }
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -102,6 +102,7 @@
 {
     const Time now = base::steadyNow();
     updateRate();
+    expireLostRuns();
     applyFollowup(policy::tick(m_admission, now));
     if (m_upstream && now - m_announcedAt > m_settings.announcementTimeout)
         removeUpstream("its announcement expired");
@@ -148,7 +149,10 @@
     const bool restarted = another || m_upstream->startedAtMs != announcement.startedAtMs;
     const bool changed = restarted || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
     m_announcedAt = base::steadyNow();
+    if (restarted)
+        onUpstreamEnded("another process announces itself");
     if (another) {
+        finishLostCalls();
         // Another upstream process has taken over; calls that ran on the previous one will not be answered.
         std::vector<OwnerCallId> left;
         for (const auto& [id, it] : m_calls)
@@ -258,6 +262,7 @@
     count("appletally_calls_total", "outcome=\"refused\"", m_counts.refused);
     count("appletally_calls_total", "outcome=\"cancelled\"", m_counts.cancelled);
     count("appletally_calls_total", "outcome=\"failed\"", m_counts.failed);
+    count("appletally_upstream_ends_total", "", m_counts.upstreamEnds);
     out.add("appletally_upstream_run_ms", "", m_runTime);
     const policy::Load load = currentLoad();
     out.add("appletally_upstream_calls", "stage=\"running\"", load.running);
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -56,6 +56,7 @@
     uint64_t refused = 0;
     uint64_t cancelled = 0;
     uint64_t failed = 0;
+    uint64_t upstreamEnds = 0; // under runs
     uint64_t unreadableLimits = 0;
     uint64_t unreadableLeavings = 0;
 };
@@ -115,6 +116,11 @@
     void logUnreadable(const UpstreamNotices&);
     void onBody(ActiveCall&, evbuffer*);
     void onEnd(ActiveCall&, const http::AnswerEnd&);
+    void onRunLost(ActiveCall&, const base::Error&); // the connection closed before the answer was complete
+    void finishLostCalls();
+    void expireLostRuns();
+    void onUpstreamEnded(const std::string& sign); // under the runs that were lost last, if there are any
+    void forgetLostRunsBefore(const ActiveCall& answered);
     void failRun(ActiveCall&, base::Error); // ends a run whose answer is broken or can no longer arrive in time
     void onTick();
     void setTick(bool busy); // short interval while there are calls, long otherwise
@@ -153,6 +159,13 @@
     std::optional<double> m_rate; // in force in m_admission: the limit, or less while the upstream is cold
     bool m_leaving = false; // the upstream said so in an answer; a late announcement does not take it back
     std::optional<std::pair<std::string, uint64_t>> m_leavingProcess; // id and start of the last one that said so, if it has an id
+    struct LostRun {
+        base::RequestDigest digest;
+        base::UpstreamVersion version;
+        base::Time at;
+    };
+    std::vector<LostRun> m_lostRuns; // of which it is not known whether the upstream ended under them
+    std::optional<base::Time> m_checkStartedAt; // set: a connection shows whether the upstream still listens
     std::optional<base::Time> m_unreadableLoggedAt;
     OwnerCounts m_counts;
     OwnerCallId m_lastId = 0;
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -10,12 +10,14 @@
 enum class Stage { Offered, // not yet admitted, or queued by admission
     Claiming, // holds a slot and waits for the keepers' answers
     Running,
+    Lost, // its connection broke; waits until it is known whether the upstream ended
     Done };
 
 struct Owner::ActiveCall {
     OwnerCallId id = 0;
     std::string name; // identifies the request in the logs
     Call call;
+    base::RequestDigest digest;
     CallHandler handler;
     Owner* owner = nullptr;
     bool offered = false; // has been passed to admission
@@ -32,6 +34,7 @@
     bool upstreamBusy = false; // at least three quarters of the slots were in use when the run started
     int status = 0;
     bool notRunByUpstream = false;
+    std::optional<base::Error> lostWith; // in stage Lost
     bool misdirected = false; // another process listens at the upstream's address
     bool detached = false; // the caller disconnected; the handler must not be called
 
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -3,6 +3,7 @@
 
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
+#include "appletally/node/request_digest.h"
 #include "appletally/policy/retry.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
     it.id = ++m_lastId;
     it.name = requestLogName(call.headers, m_settings.dialect.requestId, it.id);
     it.call = std::move(call);
+    it.digest = digestOf(it.call);
     it.handler = std::move(handler);
     it.owner = this;
     it.arrivedMicros = base::steadyMicros();
@@ -301,10 +303,19 @@
         how = RunEnd::Failed;
     record(it, how);
     endClaim(it, error);
+    if (!error)
+        forgetLostRunsBefore(it);
     const bool unreachable = error && error->code == Code::NoUpstream;
+    const bool replaced = unreachable || it.misdirected;
+    const bool connectionLost = error && (error->code == Code::OutcomeUnknown || error->code == Code::AnswerTruncated);
     const auto changes = policy::finished(m_admission, { it.id }, how, Duration { it.ranMicros / 1000 }, base::steadyNow());
-    finish(it, std::move(error));
+    if (connectionLost && state() == EndpointState::Ready) // one that leaves ends as planned
+        onRunLost(it, *error);
+    else
+        finish(it, std::move(error));
     applyFollowup(changes);
+    if (replaced)
+        onUpstreamEnded("another process or none is at its address");
     if (unreachable)
         onRestartSuspected();
 }
@@ -357,7 +368,7 @@
         return;
     }
     base::logRequest(base::info(error->code).notRun ? base::Event::CallRefused : base::Event::CallFailed, it.name,
-        { { "route", it.call.route.text }, { "code", static_cast<int64_t>(error->code) }, { "why", error->text }, { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "running", load.running },
+        { { "route", it.call.route.text }, { "digest", digestText(it.digest) }, { "code", static_cast<int64_t>(error->code) }, { "why", error->text }, { "left_ms", (it.call.deadline - base::steadyNow()).ms }, { "running", load.running },
             { "waiting", load.waiting }, { "slots", load.slots }, { "ran_ms", it.ranMicros / 1000 }, { "retry_after_ms", error->retryAfter.ms } });
 }
 
