--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -57,6 +57,8 @@
     OutcomeLost = 502,
     OverloadBegan = 503,
     OverloadEnded = 504,
+    RequestBlocked = 505,
+    RequestUnblocked = 506,
     RequestSent = 511,
     RequestAnswered = 512,
     RequestRefused = 513,
--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -18,6 +18,7 @@
     { "appletally_caller_refusals_total", MetricKind::Counter, "invalid requests and rejected connections of callers, by reason" },
     { "appletally_calls_total", MetricKind::Counter, "calls to the upstream beside this node, by outcome" },
     { "appletally_upstream_ends_total", MetricKind::Counter, "ends of the upstream's process while it ran requests" },
+    { "appletally_suspect_requests", MetricKind::Gauge, "requests under which upstreams ended, as known here, by state: `suspected` ones run one at a time, `blocked` ones not at all" },
     { "appletally_upstream_run_ms", MetricKind::Histogram, "from sending a call to the upstream to its complete answer" },
     { "appletally_upstream_calls", MetricKind::Gauge, "calls that run or wait at the owner, by stage" },
     { "appletally_upstream_slots", MetricKind::Gauge, "calls that the upstream gets at once" },
--- a/src/appletally/base/result.h
+++ b/src/appletally/base/result.h
@@ -69,6 +69,7 @@
     KeyReusedDifferently = 417,
     NoFreeSlot = 418,
     ZoneEvacuated = 419,
+    RequestBlocked = 420,
 
     // 5xx: a request whose outcome is unknown, or that ran and failed
     OutcomeUnknown = 501,
--- a/src/appletally/config/codec_records.cpp
+++ b/src/appletally/config/codec_records.cpp
@@ -168,7 +168,7 @@
 {
     return { { "host", it.host.text }, { "service", it.service.text }, { "version", it.version.text }, { "zone", it.zone.text },
         { "region", it.region.text }, { "inner", it.inner.text() }, { "slots", it.slots }, { "state", stateName(it.state) },
-        { "incarnation", it.incarnation.value }, { "sequence", it.sequence.value } };
+        { "incarnation", it.incarnation.value }, { "sequence", it.sequence.value }, { "suspects", it.suspects.size() } };
 }
 
 Json toJson(const Evidence& it)
--- a/src/appletally/config/endpoint.h
+++ b/src/appletally/config/endpoint.h
@@ -6,6 +6,7 @@
 
 #include "appletally/base/clock.h"
 #include "appletally/base/ids.h"
+#include "appletally/config/suspect_request.h"
 
 namespace appletally::config {
 
@@ -27,6 +28,7 @@
     EndpointState state = EndpointState::Starting;
     base::Incarnation incarnation; // start of the node that writes the record
     base::Sequence sequence; // numbers that node's records
+    std::vector<SuspectRequest> suspects; // as this host has seen or acquitted them; bounded, empty in calm
 };
 
 // How long a record lives without renewal, and how often it is renewed. Up to three renewals may be lost. Other nodes
--- a/src/appletally/control/distributor.cpp
+++ b/src/appletally/control/distributor.cpp
@@ -33,6 +33,9 @@
     // and larger batches compress better.
     constexpr base::Duration endpointBatchInterval { 100 };
 
+    // A caller returns to another node within some milliseconds, and each run of a request that ends upstreams costs one.
+    constexpr base::Duration suspectBatchInterval { 10 };
+
     // Subscribers have few different cursors at a time; all that start have the same one.
     constexpr size_t maxKeptBatches = 64;
 
@@ -221,17 +224,24 @@
     }));
 }
 
-void Distributor::endpointsChanged() { scheduleEndpoints(); }
+void Distributor::endpointsChanged(EndpointUrgency urgency)
+{
+    if (urgency == EndpointUrgency::Suspects)
+        m_suspectsChange = m_endpoints.lastChange;
+    scheduleEndpoints(urgency == EndpointUrgency::Suspects ? suspectBatchInterval : endpointBatchInterval);
+}
 
-void Distributor::scheduleEndpoints()
+void Distributor::scheduleEndpoints(base::Duration interval)
 {
-    if (m_endpointsScheduled)
-        return;
-    m_endpointsScheduled = true;
     const kj::TimePoint now = m_timer.now();
-    const kj::TimePoint earliest = m_limits.batching ? m_endpointsPushedAt + endpointBatchInterval.ms * kj::MILLISECONDS : now;
-    m_tasks.add(m_timer.afterDelay(kj::max(earliest, now) - now).then([this] {
-        m_endpointsScheduled = false;
+    const kj::TimePoint at = m_limits.batching ? kj::max(m_endpointsPushedAt + interval.ms * kj::MILLISECONDS, now) : now;
+    if (m_endpointsPushAt && *m_endpointsPushAt <= at)
+        return;
+    m_endpointsPushAt = at;
+    m_tasks.add(m_timer.afterDelay(at - now).then([this, at] {
+        if (m_endpointsPushAt != at)
+            return; // an earlier push took its place
+        m_endpointsPushAt.reset();
         m_endpointsPushedAt = m_timer.now();
         for (auto& [id, it] : m_subscribers)
             pushEndpoints(id, it);
@@ -306,6 +316,7 @@
     EndpointBatch out;
     out.delta = config::changesSince(m_endpoints, cursor, nullptr, maxRecordsPerMessage);
     out.records = out.delta.endpoints.size();
+    out.suspects = inner::suspectsOf(out.delta.endpoints);
     out.bytes = config::encode(std::exchange(out.delta.endpoints, {}));
     out.compressed = out.bytes.size() >= minBytesToCompress;
     if (out.compressed)
@@ -331,6 +342,8 @@
     out.setMore(next.delta.more);
     out.setEndpoints(inner::toData(next.bytes));
     out.setCompressed(next.compressed);
+    if (!next.suspects.empty())
+        inner::write(out.initSuspects(static_cast<kj::uint>(next.suspects.size())), next.suspects);
     it.endpointsBusy = true;
     m_tasks.add(request.send().then([this, id](auto&& answer) {
         auto found = m_subscribers.find(id);
@@ -339,7 +352,7 @@
         found->second.endpointsBusy = false;
         found->second.cursor = inner::read(answer.getCursor());
         if (found->second.cursor.change != m_endpoints.lastChange)
-            scheduleEndpoints();
+            scheduleEndpoints(found->second.cursor.change < m_suspectsChange ? suspectBatchInterval : endpointBatchInterval);
     }));
 }
 
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -10,6 +10,7 @@
 #include "appletally/config/model.h"
 #include "appletally/inner/content.h"
 #include "appletally/inner/control.capnp.h"
+#include "appletally/inner/rpc_wire.h"
 #include "appletally/policy/reconnect.h"
 #include "appletally/policy/source_balance.h"
 
@@ -41,6 +42,11 @@
     uint64_t handovers = 0; // subscribers that were asked to move to another source
 };
 
+enum class EndpointUrgency : uint8_t {
+    Batched,
+    Suspects, // suspect requests have changed: sent without the usual wait
+};
+
 class Distributor;
 
 // Registration of one subscriber; destroying it unsubscribes. It may outlive the distributor, because a call that is
@@ -78,7 +84,7 @@
 
     void setSources(std::vector<std::string>); // addresses of all sources, sent to the subscribers
     void contentReleased(std::shared_ptr<const config::Snapshot>);
-    void endpointsChanged();
+    void endpointsChanged(EndpointUrgency = EndpointUrgency::Batched);
 
     const std::shared_ptr<const config::Snapshot>& content() const { return m_content; } // null: none yet
     size_t subscribers() const { return m_subscribers.size(); }
@@ -103,7 +109,7 @@
 
     void taskFailed(kj::Exception&&) override;
     void scheduleContent();
-    void scheduleEndpoints();
+    void scheduleEndpoints(base::Duration interval); // since the last push, at least
     void requestSourceSwitch();
     void pushAll(uint64_t id);
     void pushSources(Subscriber&);
@@ -128,6 +134,7 @@
     // One encoded batch of endpoints. Most subscribers have the same cursor and share it.
     struct EndpointBatch {
         config::EndpointsDelta delta; // without its endpoints, which are encoded in `bytes`
+        std::vector<inner::HostSuspects> suspects; // of these endpoints
         size_t records = 0;
         std::string bytes;
         bool compressed = false;
@@ -136,13 +143,14 @@
 
     const config::EndpointRegistry& m_endpoints;
     std::map<std::tuple<uint64_t, uint64_t, uint64_t>, EndpointBatch> m_batches; // by cursor; valid for m_batchesChange
+    uint64_t m_suspectsChange = 0; // last change of the registry that a batching interval must not delay
     uint64_t m_batchesChange = 0; // change number of the registry that m_batches was made from
 
     std::vector<std::string> m_sources;
     bool m_isolated = false;
     bool m_switchRequestScheduled = false; // requestSourceSwitch() is scheduled
     bool m_scheduled = false; // a content push
-    bool m_endpointsScheduled = false;
+    std::optional<kj::TimePoint> m_endpointsPushAt; // time of the next push of endpoints; empty: none is scheduled
     kj::TimePoint m_endpointsPushedAt = kj::origin<kj::TimePoint>();
     std::shared_ptr<Distributor*> m_self = std::make_shared<Distributor*>(this); // expires with the distributor; held weakly by subscriptions
     kj::TaskSet m_tasks; // last member: its tasks use all others
--- a/src/appletally/control/peer_link.cpp
+++ b/src/appletally/control/peer_link.cpp
@@ -134,11 +134,13 @@
     if (m_sendingReport || m_pending.empty())
         return;
     m_sendingReport = true;
-    m_tasks->add(m_timer.afterDelay(reportBatchDelay.ms * kj::MILLISECONDS).then([this] {
-                                                                               auto request = m_session.shareRequest();
-                                                                               inner::write(request.initReport(), toReport(std::exchange(m_pending, {})));
-                                                                               return request.send().ignoreResult();
-                                                                           })
+    const bool urgent = std::any_of(m_pending.endpoints.begin(), m_pending.endpoints.end(), [](const auto& it) { return !it.second.endpoint.suspects.empty(); });
+    const base::Duration delay = urgent ? base::Duration {} : reportBatchDelay;
+    m_tasks->add(m_timer.afterDelay(delay.ms * kj::MILLISECONDS).then([this] {
+                                                                    auto request = m_session.shareRequest();
+                                                                    inner::write(request.initReport(), toReport(std::exchange(m_pending, {})));
+                                                                    return request.send().ignoreResult();
+                                                                })
                      .then([this] {
                          m_sendingReport = false;
                          sendPendingReports();
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -402,12 +402,17 @@
 {
     const base::Time now = base::steadyNow();
     const uint64_t before = m_endpoints.lastChange;
-    for (const inner::EndpointHeartbeat& it : report.endpoints)
-        config::put(m_endpoints, it.endpoint, it.heartbeat, now);
+    EndpointUrgency urgency = EndpointUrgency::Batched;
+    for (const inner::EndpointHeartbeat& it : report.endpoints) {
+        const auto known = m_endpoints.entries.find(it.endpoint.host);
+        const bool sameSuspects = known == m_endpoints.entries.end() ? it.endpoint.suspects.empty() : it.endpoint.suspects == known->second.endpoint.suspects;
+        if (config::put(m_endpoints, it.endpoint, it.heartbeat, now) && !sameSuspects)
+            urgency = EndpointUrgency::Suspects;
+    }
     for (const config::EndpointRenewal& it : report.renewals)
         config::renew(m_endpoints, it, now);
     if (m_endpoints.lastChange != before)
-        m_distributor.endpointsChanged();
+        m_distributor.endpointsChanged(urgency);
     recordReports(m_convergence, report.appliedVersions, now);
     wakeAppliedWaiters();
     inner::NodeReport evidence;
--- a/src/appletally/inner/control.capnp
+++ b/src/appletally/inner/control.capnp
@@ -7,6 +7,8 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("appletally::inner::rpc");
 
+using Link = import "link.capnp";
+
 struct Failure {
   code @0 :UInt16;          # base::Code; 0: no failure
   text @1 :Text;
@@ -47,6 +49,12 @@
   incarnation @9 :UInt64;
   sequence @10 :UInt64;
   beat @11 :UInt64;         # heartbeat number within the sequence; 0: forwarded by another process
+  suspects @12 :List(Link.SuspectRequest);
+}
+
+struct HostSuspects {
+  host @0 :Text;
+  suspects @1 :List(Link.SuspectRequest);
 }
 
 # The heartbeat of an unchanged endpoint record.
@@ -71,6 +79,7 @@
   more @3 :Bool;
   endpoints @4 :Data;       # a list, encoded by the codec of config/
   compressed @5 :Bool;      # with zstd
+  suspects @6 :List(HostSuspects); # of those endpoints that have any
 }
 
 struct Evidence {
--- a/src/appletally/inner/control.capnp.h
+++ b/src/appletally/inner/control.capnp.h
@@ -13,6 +13,7 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+#include "link.capnp.h"
 
 CAPNP_BEGIN_HEADER
 
@@ -37,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(ce018f9deeb7983f);
 CAPNP_DECLARE_SCHEMA(ff27207860f77f0b);
 CAPNP_DECLARE_SCHEMA(c825120bb4bb4d41);
+CAPNP_DECLARE_SCHEMA(8c900615285b5bda);
 CAPNP_DECLARE_SCHEMA(a7cf4a5536890552);
 CAPNP_DECLARE_SCHEMA(b955abefe2caf509);
 CAPNP_DECLARE_SCHEMA(b03162553b42549a);
@@ -262,7 +264,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c825120bb4bb4d41, 4, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(c825120bb4bb4d41, 4, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostSuspects {
+  HostSuspects() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c900615285b5bda, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -307,7 +324,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03162553b42549a, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b03162553b42549a, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1840,6 +1857,9 @@
 
   inline  ::uint64_t getBeat() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1928,6 +1948,13 @@
   inline  ::uint64_t getBeat();
   inline void setBeat( ::uint64_t value);
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1954,6 +1981,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class HostSuspects::Reader {
+public:
+  typedef HostSuspects Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostSuspects::Builder {
+public:
+  typedef HostSuspects Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HostSuspects::Pipeline {
+public:
+  typedef HostSuspects Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Renewal::Reader {
 public:
   typedef Renewal Reads;
@@ -2168,6 +2286,9 @@
 
   inline bool getCompressed() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2226,6 +2347,13 @@
   inline bool getCompressed();
   inline void setCompressed(bool value);
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6612,6 +6740,108 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Endpoint::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool Endpoint::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader Endpoint::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder Endpoint::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void Endpoint::Builder::setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder Endpoint::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void Endpoint::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> Endpoint::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool HostSuspects::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostSuspects::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostSuspects::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostSuspects::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostSuspects::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostSuspects::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostSuspects::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostSuspects::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HostSuspects::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostSuspects::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader HostSuspects::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder HostSuspects::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HostSuspects::Builder::setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder HostSuspects::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HostSuspects::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> HostSuspects::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Renewal::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6884,6 +7114,40 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EndpointsDelta::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointsDelta::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Reader EndpointsDelta::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Builder EndpointsDelta::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void EndpointsDelta::Builder::setSuspects( ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Builder EndpointsDelta::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void EndpointsDelta::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>> EndpointsDelta::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Evidence::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/appletally/inner/link.capnp
+++ b/src/appletally/inner/link.capnp
@@ -22,6 +22,7 @@
     credit @12 :Credit;
     load @13 :Load;        # sent unsolicited when a change must reach callers at once
     claim @14 :Claim;      # a request, response or notification between a claim's owner and a keeper
+    suspects @15 :List(SuspectRequest); # from the dialing side, while it reaches no control process; the other way they travel in load
   }
 }
 
@@ -65,6 +66,7 @@
   expectedMs @19 :Int64;   # usual run time at the upstream
   hasFullWorth @20 :Bool;
   fullWorthMs @21 :Int64;  # remaining time to the target latency; below 0: it has passed
+  suspect @22 :SuspectRequest; # what the caller's node knows of this request on the upstream's version; absent: nothing
 }
 
 struct AnswerHead {
@@ -95,6 +97,7 @@
   retryAfterMs @3 :Int64;
   load @4 :Load;
   usualRunMs @5 :UInt32;   # as in AnswerEnd
+  suspect @6 :SuspectRequest; # what the owner knows of this request; absent: nothing
 }
 
 struct Credit {
@@ -111,6 +114,20 @@
   warmPerMille @5 :Int32;
   perSecond @6 :Float64;   # requests that may start in a second; 0: no limit
   rateLastsMs @7 :Int64;
+  suspects @8 :List(SuspectRequest); # in unsolicited reports: those that have changed
+}
+
+# A request under which upstreams have ended, on one of their versions: config::SuspectRequest.
+struct SuspectRequest {
+  request @0 :UInt64;
+  version @1 :Text;
+  round @2 :UInt32;
+  ends @3 :List(UpstreamEnd);
+}
+
+struct UpstreamEnd {
+  id @0 :UInt64;
+  order @1 :UInt8;
 }
 
 struct Claim {
--- a/src/appletally/inner/link.capnp.h
+++ b/src/appletally/inner/link.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(a60d997e8428d609);
 CAPNP_DECLARE_SCHEMA(da13abb2511de49b);
 CAPNP_DECLARE_SCHEMA(b5417c30b30f6b90);
+CAPNP_DECLARE_SCHEMA(c2ca6c178b3d5726);
+CAPNP_DECLARE_SCHEMA(cc357418b6e0ad5c);
 CAPNP_DECLARE_SCHEMA(88611f47bf9678c6);
 
 }  // namespace schemas
@@ -58,6 +60,7 @@
     CREDIT,
     LOAD,
     CLAIM,
+    SUSPECTS,
   };
 
   struct _capnpPrivate {
@@ -121,7 +124,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 9, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -181,7 +184,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a60d997e8428d609, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a60d997e8428d609, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -211,7 +214,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5417c30b30f6b90, 6, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b5417c30b30f6b90, 6, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectRequest {
+  SuspectRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c2ca6c178b3d5726, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamEnd {
+  UpstreamEnd() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cc357418b6e0ad5c, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -309,6 +342,10 @@
   inline bool hasClaim() const;
   inline  ::appletally::inner::wire::Claim::Reader getClaim() const;
 
+  inline bool isSuspects() const;
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -442,6 +479,14 @@
   inline void adoptClaim(::capnp::Orphan< ::appletally::inner::wire::Claim>&& value);
   inline ::capnp::Orphan< ::appletally::inner::wire::Claim> disownClaim();
 
+  inline bool isSuspects();
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -830,6 +875,9 @@
 
   inline  ::int64_t getFullWorthMs() const;
 
+  inline bool hasSuspect() const;
+  inline  ::appletally::inner::wire::SuspectRequest::Reader getSuspect() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -956,6 +1004,13 @@
   inline  ::int64_t getFullWorthMs();
   inline void setFullWorthMs( ::int64_t value);
 
+  inline bool hasSuspect();
+  inline  ::appletally::inner::wire::SuspectRequest::Builder getSuspect();
+  inline void setSuspect( ::appletally::inner::wire::SuspectRequest::Reader value);
+  inline  ::appletally::inner::wire::SuspectRequest::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::appletally::inner::wire::SuspectRequest>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest> disownSuspect();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -974,6 +1029,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::appletally::inner::wire::SuspectRequest::Pipeline getSuspect();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1302,6 +1358,9 @@
 
   inline  ::uint32_t getUsualRunMs() const;
 
+  inline bool hasSuspect() const;
+  inline  ::appletally::inner::wire::SuspectRequest::Reader getSuspect() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1356,6 +1415,13 @@
   inline  ::uint32_t getUsualRunMs();
   inline void setUsualRunMs( ::uint32_t value);
 
+  inline bool hasSuspect();
+  inline  ::appletally::inner::wire::SuspectRequest::Builder getSuspect();
+  inline void setSuspect( ::appletally::inner::wire::SuspectRequest::Reader value);
+  inline  ::appletally::inner::wire::SuspectRequest::Builder initSuspect();
+  inline void adoptSuspect(::capnp::Orphan< ::appletally::inner::wire::SuspectRequest>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest> disownSuspect();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1375,6 +1441,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::appletally::inner::wire::Load::Pipeline getLoad();
+  inline  ::appletally::inner::wire::SuspectRequest::Pipeline getSuspect();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1497,6 +1564,9 @@
 
   inline  ::int64_t getRateLastsMs() const;
 
+  inline bool hasSuspects() const;
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1549,6 +1619,13 @@
   inline  ::int64_t getRateLastsMs();
   inline void setRateLastsMs( ::int64_t value);
 
+  inline bool hasSuspects();
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder getSuspects();
+  inline void setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder initSuspects(unsigned int size);
+  inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1575,6 +1652,188 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectRequest::Reader {
+public:
+  typedef SuspectRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline  ::uint32_t getRound() const;
+
+  inline bool hasEnds() const;
+  inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Reader getEnds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectRequest::Builder {
+public:
+  typedef SuspectRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::uint32_t getRound();
+  inline void setRound( ::uint32_t value);
+
+  inline bool hasEnds();
+  inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Builder getEnds();
+  inline void setEnds( ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Builder initEnds(unsigned int size);
+  inline void adoptEnds(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>> disownEnds();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectRequest::Pipeline {
+public:
+  typedef SuspectRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamEnd::Reader {
+public:
+  typedef UpstreamEnd Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline  ::uint8_t getOrder() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamEnd::Builder {
+public:
+  typedef UpstreamEnd Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline  ::uint8_t getOrder();
+  inline void setOrder( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamEnd::Pipeline {
+public:
+  typedef UpstreamEnd Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Claim::Reader {
 public:
   typedef Claim Reads;
@@ -2370,6 +2629,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LinkMessage::Reader::isSuspects() const {
+  return which() == LinkMessage::SUSPECTS;
+}
+inline bool LinkMessage::Builder::isSuspects() {
+  return which() == LinkMessage::SUSPECTS;
+}
+inline bool LinkMessage::Reader::hasSuspects() const {
+  if (which() != LinkMessage::SUSPECTS) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkMessage::Builder::hasSuspects() {
+  if (which() != LinkMessage::SUSPECTS) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader LinkMessage::Reader::getSuspects() const {
+  KJ_IREQUIRE((which() == LinkMessage::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder LinkMessage::Builder::getSuspects() {
+  KJ_IREQUIRE((which() == LinkMessage::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkMessage::Builder::setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder LinkMessage::Builder::initSuspects(unsigned int size) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::SUSPECTS);
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LinkMessage::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::SUSPECTS);
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> LinkMessage::Builder::disownSuspects() {
+  KJ_IREQUIRE((which() == LinkMessage::SUSPECTS),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Greet::Reader::hasCluster() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3110,6 +3423,45 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Call::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Call::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::wire::SuspectRequest::Reader Call::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::wire::SuspectRequest::Builder Call::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::appletally::inner::wire::SuspectRequest::Pipeline Call::Pipeline::getSuspect() {
+  return  ::appletally::inner::wire::SuspectRequest::Pipeline(_typeless.getPointerField(8));
+}
+#endif  // !CAPNP_LITE
+inline void Call::Builder::setSuspect( ::appletally::inner::wire::SuspectRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::wire::SuspectRequest::Builder Call::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Call::Builder::adoptSuspect(
+    ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest> Call::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t AnswerHead::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3472,6 +3824,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Refused::Reader::hasSuspect() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Refused::Builder::hasSuspect() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::wire::SuspectRequest::Reader Refused::Reader::getSuspect() const {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::wire::SuspectRequest::Builder Refused::Builder::getSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::appletally::inner::wire::SuspectRequest::Pipeline Refused::Pipeline::getSuspect() {
+  return  ::appletally::inner::wire::SuspectRequest::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Refused::Builder::setSuspect( ::appletally::inner::wire::SuspectRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::wire::SuspectRequest::Builder Refused::Builder::initSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Refused::Builder::adoptSuspect(
+    ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest> Refused::Builder::disownSuspect() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::SuspectRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Credit::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3612,6 +4003,164 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Load::Reader::hasSuspects() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Load::Builder::hasSuspects() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader Load::Reader::getSuspects() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder Load::Builder::getSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Load::Builder::setSuspects( ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Builder Load::Builder::initSuspects(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Load::Builder::adoptSuspects(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> Load::Builder::disownSuspects() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t SuspectRequest::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SuspectRequest::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SuspectRequest::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectRequest::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectRequest::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SuspectRequest::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SuspectRequest::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectRequest::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SuspectRequest::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectRequest::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectRequest::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SuspectRequest::Reader::getRound() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectRequest::Builder::getRound() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SuspectRequest::Builder::setRound( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SuspectRequest::Reader::hasEnds() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectRequest::Builder::hasEnds() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Reader SuspectRequest::Reader::getEnds() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Builder SuspectRequest::Builder::getEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectRequest::Builder::setEnds( ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>::Builder SuspectRequest::Builder::initEnds(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectRequest::Builder::adoptEnds(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>> SuspectRequest::Builder::disownEnds() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::wire::UpstreamEnd,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UpstreamEnd::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamEnd::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamEnd::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t UpstreamEnd::Reader::getOrder() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t UpstreamEnd::Builder::getOrder() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamEnd::Builder::setOrder( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Claim::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/appletally/inner/rpc_wire.cpp
+++ b/src/appletally/inner/rpc_wire.cpp
@@ -38,6 +38,8 @@
     out.setState(static_cast<uint8_t>(in.state));
     out.setIncarnation(in.incarnation.value);
     out.setSequence(in.sequence.value);
+    if (!in.suspects.empty())
+        write(out.initSuspects(static_cast<kj::uint>(in.suspects.size())), in.suspects);
 }
 
 static config::Endpoint read(rpc::Endpoint::Reader in)
@@ -55,9 +57,37 @@
     out.state = in.getState() > most ? config::EndpointState::Starting : static_cast<config::EndpointState>(in.getState());
     out.incarnation.value = in.getIncarnation();
     out.sequence.value = in.getSequence();
+    out.suspects = read(in.getSuspects());
     return out;
 }
 
+void write(capnp::List<rpc::HostSuspects>::Builder out, std::span<const HostSuspects> in)
+{
+    for (kj::uint n = 0; n < out.size(); ++n) {
+        out[n].setHost(in[n].host.text);
+        write(out[n].initSuspects(static_cast<kj::uint>(in[n].suspects.size())), in[n].suspects);
+    }
+}
+
+std::vector<HostSuspects> suspectsOf(const std::vector<config::Endpoint>& endpoints)
+{
+    std::vector<HostSuspects> out;
+    for (const config::Endpoint& it : endpoints) {
+        if (!it.suspects.empty())
+            out.push_back({ it.host, it.suspects });
+    }
+    return out;
+}
+
+static void attach(std::vector<config::Endpoint>& endpoints, capnp::List<rpc::HostSuspects>::Reader in)
+{
+    for (rpc::HostSuspects::Reader of : in) {
+        const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto& it) { return it.host.text == of.getHost().cStr(); });
+        if (found != endpoints.end())
+            found->suspects = read(of.getSuspects());
+    }
+}
+
 void write(rpc::Cursor::Builder out, const config::EndpointCursor& in)
 {
     out.setRegistry(in.registry);
@@ -81,6 +111,7 @@
     if (!endpoints)
         return endpoints.error();
     out.endpoints = std::move(endpoints.value());
+    attach(out.endpoints, in.getSuspects());
     return out;
 }
 
--- a/src/appletally/inner/rpc_wire.h
+++ b/src/appletally/inner/rpc_wire.h
@@ -6,6 +6,7 @@
 #include "appletally/config/evidence.h"
 #include "appletally/inner/cluster_key.h"
 #include "appletally/inner/control.capnp.h"
+#include "appletally/inner/suspect_wire.h"
 
 #include <string>
 #include <vector>
@@ -36,6 +37,15 @@
     bool empty() const { return endpoints.empty() && appliedVersions.empty() && evidence.empty() && renewals.empty(); }
 };
 
+// Travels beside the encoded endpoints, whose arrays have a fixed length.
+struct HostSuspects {
+    base::HostId host;
+    std::vector<config::SuspectRequest> suspects; // never empty
+};
+
+std::vector<HostSuspects> suspectsOf(const std::vector<config::Endpoint>&);
+void write(capnp::List<rpc::HostSuspects>::Builder, std::span<const HostSuspects>);
+
 void write(rpc::Failure::Builder, const base::Error&);
 base::Error read(rpc::Failure::Reader);
 bool failed(rpc::Failure::Reader);
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -349,6 +349,7 @@
     EndpointHeartbeat& known = m_endpoints[endpoint.host];
     if (std::tuple(known.endpoint.incarnation, known.endpoint.sequence) != std::tuple(endpoint.incarnation, endpoint.sequence))
         known.heartbeat = 0;
+    m_reportUrgent |= known.endpoint.suspects != endpoint.suspects;
     known.endpoint = endpoint;
     m_endpointsDirty = true;
     sendReport();
@@ -397,7 +398,8 @@
     if (!m_subscribed || m_reporting)
         return;
     m_reporting = true;
-    m_linkTasks->add(m_timer.afterDelay(reportBatchInterval.ms * kj::MILLISECONDS).then([this]() -> kj::Promise<void> {
+    const base::Duration batchTime = std::exchange(m_reportUrgent, false) ? base::Duration {} : reportBatchInterval;
+    m_linkTasks->add(m_timer.afterDelay(batchTime.ms * kj::MILLISECONDS).then([this]() -> kj::Promise<void> {
                                                                                       const NodeReport report = takePendingReport();
                                                                                       if (report.empty())
                                                                                           return kj::READY_NOW;
--- a/src/appletally/inner/source_client.h
+++ b/src/appletally/inner/source_client.h
@@ -132,6 +132,7 @@
     bool m_appliedVersionDirty = false;
     std::map<EvidenceKey, bool> m_evidenceDirty;
     bool m_reporting = false; // at most one report in flight
+    bool m_reportUrgent = false; // suspect requests have changed: the next report does not wait for others
 
     kj::Own<RpcLink> m_link;
     uint64_t m_generation = 0; // incremented per link; calls of an older one have no effect
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -8,6 +8,7 @@
 #include "appletally/base/ids.h"
 #include "appletally/base/result.h"
 #include "appletally/config/model.h"
+#include "appletally/config/suspect_request.h"
 #include "appletally/http/upstream_client.h"
 #include "appletally/policy/load.h"
 #include "appletally/policy/local_version_monitor.h"
@@ -40,6 +41,7 @@
     config::Priority priority = config::Priority::Read;
     base::Duration expected { 20 }; // usual run time at the upstream
     std::optional<base::Time> targetDeadline; // an answer after it is late and of less value; sent as the remaining time
+    std::optional<config::SuspectRequest> suspect; // what the caller's node knows of this request on the upstream's version
     std::optional<policy::CallerBaseline> baseline; // results of the version that a rollout replaces, as seen by the ingress; empty: no rollout or not known
 };
 
@@ -49,6 +51,7 @@
     int64_t runMicros = 0; // run time at the upstream
     int64_t ownerMicros = 0; // from the call's arrival at the owner to its end there; 0: not known
     base::Duration usualRun {}; // recent run time of the route there over all callers; zero: not known
+    std::optional<config::SuspectRequest> suspect; // with an error: what the owner knows of this request
 };
 
 constexpr uint64_t maxShortAnswerBytes = 16 * 1024; // of a body; larger answers are sent at the pace of the host's link
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -50,7 +50,7 @@
 
 class Ingress {
 public:
-    Ingress(event_base*, IngressSettings, Owner&, Peers&, Claims&);
+    Ingress(event_base*, IngressSettings, Owner&, Peers&, Claims&, Suspects&);
     ~Ingress();
     Ingress(const Ingress&) = delete;
     Ingress& operator=(const Ingress&) = delete;
@@ -87,6 +87,9 @@
     void send(ActiveRequest&);
     void startAttempt(ActiveRequest&, const policy::Pick&, bool isHedge);
     std::optional<policy::Pick> pickFor(const ActiveRequest&);
+    std::vector<base::HostId> blockedHosts(const ActiveRequest&) const; // their versions do not get this request
+    bool isSuspect(const ActiveRequest&) const; // on any version of the service's upstreams
+    std::optional<base::Error> findBlock(const ActiveRequest&) const; // set: blocked on every version
     void copyElsewhere(ActiveRequest&, const base::Error&);
     bool waitsForSilentHosts(const ActiveRequest&) const;
     void logSent(const ActiveRequest&, const Attempt&) const;
@@ -132,6 +135,7 @@
     Owner* m_owner;
     Peers* m_peers;
     Claims* m_claims;
+    Suspects* m_suspects;
     http::CallerListener m_listener;
     EarlyRequests m_earlyRequests; // empty once m_open is set
     bool m_open = false; // a configuration is applied and upstreams are known
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -145,6 +145,8 @@
 void Ingress::onEnd(ActiveRequest& it, Attempt& attempt, const CallEnd& end)
 {
     std::optional<base::Error> error = end.error;
+    if (end.suspect)
+        m_suspects->onTold(*end.suspect);
     if (!error && !attempt.head)
         error = base::fail(Code::AnswerTruncated, "the answer ended without a head");
     if (!error && attempt.head->length >= 0 && it.call.method != "HEAD" && attempt.bodyBytes != static_cast<uint64_t>(attempt.head->length))
@@ -229,6 +231,8 @@
 {
     event_del(it.hedgeTimer);
     base::Error last = it.firstRefusal.value_or(base::fail(Code::NoUpstream, "no upstream of " + it.call.service.text + " is available", startupRetryAfter));
+    if (const auto blocked = findBlock(it))
+        last = *blocked;
     last.code = policy::finalCode(it.mayHaveRun, last.code);
     failRequest(it, last);
 }
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -204,15 +204,59 @@
 {
     policy::Router& router = m_routers[it.call.service];
     const Time now = base::steadyNow();
-    const std::optional<Duration> within = remainingTargetTime(it.call, now);
-    const std::vector<base::HostId>& suspects = m_peers->suspects();
-    if (!suspects.empty()) {
-        std::vector<base::HostId> excluded = it.attemptedHosts;
-        excluded.insert(excluded.end(), suspects.begin(), suspects.end());
-        if (auto pick = policy::pick(router, { it.route->name, excluded, {}, it.route->idempotent, within }, now, inner::randomNumber()))
+    std::vector<base::HostId> unusable = it.attemptedHosts;
+    const std::vector<base::HostId> blocked = blockedHosts(it);
+    unusable.insert(unusable.end(), blocked.begin(), blocked.end());
+    policy::PickRequest request { it.route->name, unusable, {}, it.route->idempotent, remainingTargetTime(it.call, now) };
+    if (isSuspect(it))
+        request.suspect = it.digest;
+    const std::vector<base::HostId>& silent = m_peers->suspects();
+    if (!silent.empty()) {
+        std::vector<base::HostId> excluded = unusable;
+        excluded.insert(excluded.end(), silent.begin(), silent.end());
+        request.excluded = excluded;
+        if (auto pick = policy::pick(router, request, now, inner::randomNumber()))
             return pick;
+        request.excluded = unusable;
+    }
+    return policy::pick(router, request, now, inner::randomNumber());
+}
+
+std::vector<base::HostId> Ingress::blockedHosts(const ActiveRequest& it) const
+{
+    std::vector<base::HostId> out;
+    const auto router = m_routers.find(it.call.service);
+    if (!m_suspects->knows(it.digest) || router == m_routers.end())
+        return out;
+    for (const auto& [host, target] : router->second.targets) {
+        if (m_suspects->suspicionOf({ it.digest, target.endpoint.version }) == policy::Suspicion::Blocked)
+            out.push_back(host);
+    }
+    return out;
+}
+
+bool Ingress::isSuspect(const ActiveRequest& it) const
+{
+    const auto router = m_routers.find(it.call.service);
+    if (!m_suspects->knows(it.digest) || router == m_routers.end())
+        return false;
+    const auto& targets = router->second.targets;
+    return std::any_of(targets.begin(), targets.end(), [&](const auto& target) { return m_suspects->suspicionOf({ it.digest, target.second.endpoint.version }) != policy::Suspicion::None; });
+}
+
+std::optional<base::Error> Ingress::findBlock(const ActiveRequest& it) const
+{
+    const auto router = m_routers.find(it.call.service);
+    if (!m_suspects->knows(it.digest) || router == m_routers.end() || router->second.targets.empty())
+        return {};
+    std::optional<Duration> least;
+    for (const auto& [host, target] : router->second.targets) {
+        const Duration left = m_suspects->blockedFor({ it.digest, target.endpoint.version });
+        if (left <= Duration {})
+            return {};
+        least = std::min(least.value_or(left), left);
     }
-    return policy::pick(router, { it.route->name, it.attemptedHosts, {}, it.route->idempotent, within }, now, inner::randomNumber());
+    return base::fail(Code::RequestBlocked, "upstreams of " + it.call.service.text + " ended under this request", *least);
 }
 
 // A host froze, or a device on the path lost the state of the connection: no error is reported. A read that waited for the
@@ -237,6 +281,8 @@
 // work, and their answers may only be late.
 void Ingress::copyElsewhere(ActiveRequest& it, const base::Error& error)
 {
+    if (isSuspect(it))
+        return; // its upstream may be silent because it ends
     const auto other = pickFor(it);
     if (!other)
         return;
@@ -298,6 +344,7 @@
     handler.end = [this, with](const CallEnd& end) { with([&](ActiveRequest& active, Attempt& attempt) { onEnd(active, attempt, end); }); };
     Call call = it.call;
     call.baseline = baselineFor(it, pick);
+    call.suspect = m_suspects->evidenceOf({ it.digest, pick.version });
     call.deadline = now + policy::timeLeft(it.call.deadline, now, made.local ? Duration { 0 } : oneWayLatency);
     if (made.local) {
         made.callId = m_owner->start(std::move(call), std::move(handler));
@@ -334,7 +381,7 @@
 void Ingress::onHedgeTimer(ActiveRequest& it)
 {
     const int attempts = it.spentAttempts + static_cast<int>(it.activeAttempts.size());
-    const bool useful = it.activeAttempts.size() == 1 && !it.hedged && !it.streaming && attempts < it.route->maxAttempts;
+    const bool useful = it.activeAttempts.size() == 1 && !it.hedged && !it.streaming && attempts < it.route->maxAttempts && !isSuspect(it);
     if (!useful)
         return;
     const Time now = base::steadyNow();
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -23,10 +23,11 @@
 constexpr Duration busyTickInterval { 5 }; // upper bound on the delay of a refusal that has become certain
 constexpr Duration idleTickInterval { 250 }; // only announcements expire then; an idle node should use next to no CPU
 
-Owner::Owner(event_base* loop, OwnerSettings settings, Claims& claims, Events events)
+Owner::Owner(event_base* loop, OwnerSettings settings, Claims& claims, Suspects& suspects, Events events)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_claims(&claims)
+    , m_suspects(&suspects)
     , m_events(std::move(events))
 {
     m_admission.options = m_settings.admission;
@@ -108,6 +109,7 @@
         removeUpstream("its announcement expired");
     if (m_drainingSince && now - *m_drainingSince > maxQueueTimeWhileDraining)
         refuseQueued(base::fail(Code::Draining, "the upstream is draining"));
+    admitHeld();
     setTick(!m_calls.empty());
 }
 
@@ -132,7 +134,7 @@
 {
     std::vector<OwnerCallId> waiting;
     for (const auto& [id, it] : m_calls) {
-        if (it->stage == Stage::Offered && it->offered)
+        if (it->stage == Stage::Offered && (it->offered || it->heldSince))
             waiting.push_back(id);
     }
     for (const OwnerCallId id : waiting) {
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -13,6 +13,7 @@
 #include "appletally/node/call.h"
 #include "appletally/node/claims.h"
 #include "appletally/node/dialect.h"
+#include "appletally/node/suspects.h"
 #include "appletally/node/upstream_notices.h"
 #include "appletally/policy/admission.h"
 #include "appletally/policy/cold_start.h"
@@ -70,7 +71,7 @@
         std::function<void(const policy::Load&)> load;
     };
 
-    Owner(event_base*, OwnerSettings, Claims&, Events);
+    Owner(event_base*, OwnerSettings, Claims&, Suspects&, Events);
     ~Owner();
     Owner(const Owner&) = delete;
     Owner& operator=(const Owner&) = delete;
@@ -96,6 +97,9 @@
 private:
     struct ActiveCall;
     void admit(ActiveCall&);
+    bool holdSuspect(ActiveCall&); // true: it waits for the run of another suspect, or was refused
+    void admitHeld();
+    std::optional<base::Error> findBlock(const ActiveCall&) const;
     void run(ActiveCall&); // it holds a slot
     void claim(ActiveCall&); // before any byte of a keyed, non-idempotent request is sent to the upstream
     void onClaimDecided(OwnerCallId, const policy::ClaimRound&);
@@ -140,6 +144,7 @@
     event_base* m_loop;
     OwnerSettings m_settings;
     Claims* m_claims;
+    Suspects* m_suspects;
     Events m_events;
     event* m_tick = nullptr;
     std::shared_ptr<const config::Snapshot> m_snapshot;
@@ -160,11 +165,12 @@
     bool m_leaving = false; // the upstream said so in an answer; a late announcement does not take it back
     std::optional<std::pair<std::string, uint64_t>> m_leavingProcess; // id and start of the last one that said so, if it has an id
     struct LostRun {
-        base::RequestDigest digest;
-        base::UpstreamVersion version;
+        policy::RunAtEnd run;
         base::Time at;
     };
     std::vector<LostRun> m_lostRuns; // of which it is not known whether the upstream ended under them
+    std::vector<OwnerCallId> m_heldSuspects; // in the order of their arrival; may have ended
+    std::map<OwnerCallId, config::RequestOnVersion> m_runningSuspects; // admitted while suspected
     std::optional<base::Time> m_checkStartedAt; // set: a connection shows whether the upstream still listens
     std::optional<base::Time> m_unreadableLoggedAt;
     OwnerCounts m_counts;
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -21,6 +21,8 @@
     CallHandler handler;
     Owner* owner = nullptr;
     bool offered = false; // has been passed to admission
+    std::optional<base::Time> heldSince; // a suspect that waits for the run of another one
+    policy::Standing standing; // of the request, when its run began
     Stage stage = Stage::Offered;
     http::UpstreamCall* upstream = nullptr;
     base::UpstreamVersion version;
--- a/src/appletally/node/owner_ends.cpp
+++ b/src/appletally/node/owner_ends.cpp
@@ -22,7 +22,7 @@
 {
     it.stage = Stage::Lost;
     it.lostWith = error;
-    m_lostRuns.push_back({ it.digest, it.version, base::steadyNow() });
+    m_lostRuns.push_back({ { { it.digest, it.version }, it.standing }, base::steadyNow() });
     if (m_checkStartedAt)
         return;
     m_checkStartedAt = base::steadyNow();
@@ -61,10 +61,13 @@
         return;
     ++m_counts.upstreamEnds;
     std::string digests;
-    for (const LostRun& it : m_lostRuns)
-        digests += " " + digestText(it.digest);
-    base::logEvent(base::Event::UpstreamEnded, m_lostRuns.back().version.text + ": " + sign + "; it ran" + digests);
-    m_lostRuns.clear();
+    std::vector<policy::RunAtEnd> runs;
+    for (const LostRun& it : std::exchange(m_lostRuns, {})) {
+        digests += " " + digestText(it.run.key.request);
+        runs.push_back(it.run);
+    }
+    base::logEvent(base::Event::UpstreamEnded, runs.back().key.version.text + ": " + sign + "; it ran" + digests);
+    m_suspects->onUpstreamEnded(runs);
 }
 
 // The same process has answered a run that began after these were lost.
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -2,6 +2,7 @@
 #include "appletally/node/owner_links.h"
 
 #include "appletally/base/log.h"
+#include "appletally/inner/suspect_wire.h"
 #include "appletally/node/wire.h"
 
 #include <algorithm>
@@ -24,11 +25,12 @@
     std::map<uint64_t, OwnerCallId> calls; // peer's call id to local call id, until the run has ended
 };
 
-OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim)
+OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim, OnSuspects onSuspects)
     : m_loop(loop)
     , m_membership(&membership)
     , m_owner(&owner)
     , m_onClaim(std::move(onClaim))
+    , m_onSuspects(std::move(onSuspects))
     , m_answers(loop)
 {
 }
@@ -139,6 +141,8 @@
     }
     case LinkMessage::CLAIM:
         return onClaim(it, message.getClaim());
+    case LinkMessage::SUSPECTS:
+        return m_onSuspects(inner::read(message.getSuspects()));
     default:
         it.link->fail(base::fail(Code::MessageMalformed, "unexpected message type from a dialing node"));
     }
@@ -212,10 +216,13 @@
     }
 }
 
-void OwnerLinks::broadcastLoad(const policy::Load& load)
+void OwnerLinks::broadcastLoad(const policy::Load& load, std::span<const config::SuspectRequest> suspects)
 {
     capnp::MallocMessageBuilder out;
-    writeLoad(out.initRoot<LinkMessage>().initLoad(), load);
+    auto message = out.initRoot<LinkMessage>().initLoad();
+    writeLoad(message, load);
+    if (!suspects.empty())
+        inner::write(message.initSuspects(static_cast<unsigned>(suspects.size())), suspects);
     for (const auto& it : m_links) {
         if (it->link->isUp())
             it->link->send(out);
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <span>
 
 namespace appletally::node {
 
@@ -25,13 +26,16 @@
     using Answer = std::function<void(const std::string& body)>;
     using OnClaim = std::function<void(const base::HostId& peer, const std::string& body, Answer)>;
 
-    OwnerLinks(event_base*, const inner::Membership&, Owner&, OnClaim);
+    using OnSuspects = std::function<void(const std::vector<config::SuspectRequest>&)>;
+
+    OwnerLinks(event_base*, const inner::Membership&, Owner&, OnClaim, OnSuspects);
     ~OwnerLinks();
     OwnerLinks(const OwnerLinks&) = delete;
     OwnerLinks& operator=(const OwnerLinks&) = delete;
 
     base::Result<base::Address> listen(const base::Address&);
-    void broadcastLoad(const policy::Load&); // sends an unsolicited load report to every linked node
+    // Sends an unsolicited load report to every linked node, with the suspect requests that have changed.
+    void broadcastLoad(const policy::Load&, std::span<const config::SuspectRequest> suspects = {});
     void finish(); // accepts no more links, and ends each one after its peer has received all answers; idempotent
     const InnerCounts& counts() const { return m_counts; }
     size_t links() const { return m_links.size(); }
@@ -51,6 +55,7 @@
     const inner::Membership* m_membership;
     Owner* m_owner;
     OnClaim m_onClaim;
+    OnSuspects m_onSuspects;
     AnswerSender m_answers;
     evconnlistener* m_listener = nullptr;
     std::list<std::shared_ptr<InboundLink>> m_links;
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -54,6 +54,8 @@
 {
     if (auto error = findRefusal(it.call))
         return refuse(it, *error);
+    if (holdSuspect(it))
+        return;
     it.offered = true;
     const Time now = base::steadyNow();
     const policy::Arrival arrival { { it.id }, it.call.caller, it.call.route, it.call.priority, it.call.expected, it.call.deadline, it.call.internal, it.call.targetDeadline };
@@ -86,6 +88,8 @@
     // The version may have been stopped, or the zone evacuated, while the call was queued; "not run" is still proven.
     if (auto error = findRefusal(it.call); error && (error->code == Code::VersionRolledBack || error->code == Code::ZoneEvacuated))
         return releaseAndRefuse(it, *error);
+    if (auto error = findBlock(it))
+        return releaseAndRefuse(it, *error);
     if (m_settings.features.claims && !it.call.idempotent && !it.call.key.empty())
         return claim(it);
     send(it);
@@ -119,6 +123,11 @@
             it->claim.reset();
             return releaseAndRefuse(*it, base::fail(Code::DeadlineTooNear, "no time left after the claim was granted"));
         }
+        if (auto error = findBlock(*it)) {
+            m_claims->end(*granted, policy::ClaimEnd::NotStarted, {});
+            it->claim.reset();
+            return releaseAndRefuse(*it, *error);
+        }
         return send(*it);
     case policy::ClaimDecision::AnswerRecorded:
         return replayRecorded(*it, *round.outcome);
@@ -197,6 +206,7 @@
     const Duration left = it.call.deadline - now;
     it.stage = Stage::Running;
     it.version = m_upstream->version;
+    it.standing = m_suspects->standingOf({ it.digest, it.version });
     it.upstreamBusy = static_cast<int>(m_admission.running.size()) * 4 >= m_admission.slots.announced * 3;
     it.startedMicros = base::steadyMicros();
     const Duration wait = std::max(left, Duration { 1 });
@@ -303,8 +313,10 @@
         how = RunEnd::Failed;
     record(it, how);
     endClaim(it, error);
-    if (!error)
+    if (!error) {
         forgetLostRunsBefore(it);
+        m_suspects->onAnswered({ it.digest, it.version });
+    }
     const bool unreachable = error && error->code == Code::NoUpstream;
     const bool replaced = unreachable || it.misdirected;
     const bool connectionLost = error && (error->code == Code::OutcomeUnknown || error->code == Code::AnswerTruncated);
@@ -391,7 +403,10 @@
     logEnd(it, error);
     if (error && !base::info(error->code).notRun)
         ++m_counts.failed;
-    CallEnd end { std::move(error), currentLoad(), it.ranMicros, base::steadyMicros() - it.arrivedMicros, policy::observedRun(m_admission.runs, it.call.route).value_or(Duration {}) };
+    CallEnd end { std::move(error), currentLoad(), it.ranMicros, base::steadyMicros() - it.arrivedMicros, policy::observedRun(m_admission.runs, it.call.route).value_or(Duration {}), {} };
+    if (end.error && m_upstream)
+        end.suspect = m_suspects->evidenceOf({ it.digest, it.version.empty() ? m_upstream->version : it.version });
+    m_runningSuspects.erase(it.id);
     auto handler = std::move(it.handler);
     const bool detached = it.detached;
     m_calls.erase(it.id);
@@ -417,6 +432,7 @@
     if (it->upstream)
         it->upstream->cancel();
     const bool offered = it->offered;
+    m_runningSuspects.erase(id);
     m_calls.erase(id);
     if (offered)
         applyFollowup(policy::cancel(m_admission, { id }, base::steadyNow()));
--- a/src/appletally/node/peers.cpp
+++ b/src/appletally/node/peers.cpp
@@ -4,6 +4,7 @@
 
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
+#include "appletally/inner/suspect_wire.h"
 #include "appletally/node/wire.h"
 #include "appletally/policy/link_keeping.h"
 
@@ -155,6 +156,8 @@
             finish(message.getRefused().getId(), readRefused(message.getRefused()));
         return;
     case LinkMessage::LOAD:
+        if (message.getLoad().hasSuspects())
+            m_events.suspects(inner::read(message.getLoad().getSuspects()));
         return m_events.load(link.host, readLoad(message.getLoad()));
     case LinkMessage::CLAIM: {
         auto it = link.claims.find(message.getClaim().getId());
@@ -242,6 +245,16 @@
         answer({});
 }
 
+void Peers::tellSuspects(std::span<const config::SuspectRequest> suspects)
+{
+    capnp::MallocMessageBuilder out;
+    inner::write(out.initRoot<LinkMessage>().initSuspects(static_cast<unsigned>(suspects.size())), suspects);
+    for (const auto& [host, it] : m_current) {
+        if (it->link->isUp())
+            it->link->send(out);
+    }
+}
+
 void Peers::sendClaimMessage(const base::HostId& host, const base::Address& address, const std::string& body, OnClaimAnswer answer)
 {
     const auto it = linkTo(host, address, true);
--- a/src/appletally/node/wire.cpp
+++ b/src/appletally/node/wire.cpp
@@ -1,6 +1,8 @@
 // Field-by-field conversion of link messages.
 #include "appletally/node/wire.h"
 
+#include "appletally/inner/suspect_wire.h"
+
 #include <algorithm>
 
 namespace appletally::node {
@@ -47,6 +49,8 @@
     out.setHasFullWorth(in.targetDeadline.has_value());
     if (in.targetDeadline)
         out.setFullWorthMs((*in.targetDeadline - now).ms);
+    if (in.suspect)
+        inner::write(out.initSuspect(), *in.suspect);
     if (!in.baseline)
         return;
     out.setHasOld(true);
@@ -75,6 +79,8 @@
     out.expected = { std::max<int64_t>(in.getExpectedMs(), 1) };
     if (in.getHasFullWorth())
         out.targetDeadline = now + base::Duration { in.getFullWorthMs() };
+    if (in.hasSuspect())
+        out.suspect = inner::read(in.getSuspect());
     if (in.getHasOld())
         out.baseline = policy::CallerBaseline { in.getOldFailures(), in.getOldMedianMs() };
     return out;
@@ -102,6 +108,8 @@
     out.setUsualRunMs(static_cast<uint32_t>(in.usualRun.ms));
     if (in.load)
         writeLoad(out.initLoad(), *in.load);
+    if (in.suspect)
+        inner::write(out.initSuspect(), *in.suspect);
 }
 
 CallEnd readRefused(wire::Refused::Reader in)
@@ -111,6 +119,8 @@
     out.usualRun = { in.getUsualRunMs() };
     if (in.hasLoad())
         out.load = readLoad(in.getLoad());
+    if (in.hasSuspect())
+        out.suspect = inner::read(in.getSuspect());
     return out;
 }
 
--- a/src/appletally/policy/retry.cpp
+++ b/src/appletally/policy/retry.cpp
@@ -42,6 +42,7 @@
         case base::Code::NotReady:
         case base::Code::VersionRolledBack:
         case base::Code::ZoneEvacuated:
+        case base::Code::RequestBlocked: // on that upstream's version; another may serve it
         case base::Code::NoUpstream: // at that node, or the link there was never up
             return Kind::Moved;
         case base::Code::Overloaded:
--- a/src/appletally/policy/routing.cpp
+++ b/src/appletally/policy/routing.cpp
@@ -134,6 +134,14 @@
         return best;
     }
 
+    // Rendezvous hashing: nodes that know the same targets agree without a message, and a target that ends moves only its own
+    // requests.
+    Target* meetingPoint(const std::vector<Target*>& found, base::RequestDigest digest)
+    {
+        const auto weight = [&](const Target* it) { return XXH3_64bits_withSeed(it->endpoint.host.text.data(), it->endpoint.host.text.size(), digest.value); };
+        return *std::max_element(found.begin(), found.end(), [&](const Target* a, const Target* b) { return weight(a) < weight(b); });
+    }
+
     void observeOutcome(Router& it, const Target& target, const AnswerReport& answer, base::Time now)
     {
         PeerHealth others;
@@ -203,7 +211,8 @@
     const auto probe = std::find_if(found.begin(), found.end(), [&](const Target* target) {
         return statusOf(it.outliers, subjectOf(*target, request.route), now) == HostStatus::ProbeDue;
     });
-    Target* best = probe != found.end() ? *probe : choose(it, found, request, now, random);
+    Target* best = request.suspect ? meetingPoint(found, *request.suspect) : probe != found.end() ? *probe
+                                                                                                  : choose(it, found, request, now, random);
     beginProbe(it.outliers, subjectOf(*best, request.route), now);
     ++best->inFlight;
     return Pick { best->endpoint.host, best->endpoint.version };
--- a/src/appletally/policy/routing.h
+++ b/src/appletally/policy/routing.h
@@ -95,6 +95,7 @@
     std::optional<base::UpstreamVersion> onlyVersion; // a retry after VersionRolledBack requests the old version
     bool mayProbe = true; // false for requests that can't be repeated: they must not probe an ejected upstream
     std::optional<base::Duration> targetLatency {}; // an answer after this is late and of less value, or none, to the caller
+    std::optional<base::RequestDigest> suspect {}; // under which upstreams have ended: all nodes pick the same upstream for it, which runs it once at a time
 };
 
 struct Pick {
