Names: suspect requests beside suspected hosts

Peers::suspects() are hosts that fell silent, the new Suspects held requests, and both met in one file. No change of logic.

--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -9,13 +9,13 @@
 
 namespace appletally::node {
 
-Ingress::Ingress(event_base* loop, IngressSettings settings, Owner& owner, Peers& peers, Claims& claims, Suspects& suspects)
+Ingress::Ingress(event_base* loop, IngressSettings settings, Owner& owner, Peers& peers, Claims& claims, SuspectRegistry& suspectRequests)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_owner(&owner)
     , m_peers(&peers)
     , m_claims(&claims)
-    , m_suspects(&suspects)
+    , m_suspectRequests(&suspectRequests)
     , m_listener(
           loop, m_settings.limits,
           { [this](const http::CallerRequest& request) { return bodyLimit(request); },
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -50,7 +50,7 @@
 
 class Ingress {
 public:
-    Ingress(event_base*, IngressSettings, Owner&, Peers&, Claims&, Suspects&);
+    Ingress(event_base*, IngressSettings, Owner&, Peers&, Claims&, SuspectRegistry&);
     ~Ingress();
     Ingress(const Ingress&) = delete;
     Ingress& operator=(const Ingress&) = delete;
@@ -135,7 +135,7 @@
     Owner* m_owner;
     Peers* m_peers;
     Claims* m_claims;
-    Suspects* m_suspects;
+    SuspectRegistry* m_suspectRequests;
     http::CallerListener m_listener;
     EarlyRequests m_earlyRequests; // empty once m_open is set
     bool m_open = false; // a configuration is applied and upstreams are known
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -146,7 +146,7 @@
 {
     std::optional<base::Error> error = end.error;
     if (end.suspect)
-        m_suspects->onTold(*end.suspect);
+        m_suspectRequests->onTold(*end.suspect);
     if (!error && !attempt.head)
         error = base::fail(Code::AnswerTruncated, "the answer ended without a head");
     if (!error && attempt.head->length >= 0 && it.call.method != "HEAD" && attempt.bodyBytes != static_cast<uint64_t>(attempt.head->length))
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -222,43 +222,6 @@
     return policy::pick(router, request, now, inner::randomNumber());
 }
 
-std::vector<base::HostId> Ingress::blockedHosts(const ActiveRequest& it) const
-{
-    std::vector<base::HostId> out;
-    const auto router = m_routers.find(it.call.service);
-    if (!m_suspects->knows(it.digest) || router == m_routers.end())
-        return out;
-    for (const auto& [host, target] : router->second.targets) {
-        if (m_suspects->suspicionOf({ it.digest, target.endpoint.version }) == policy::Suspicion::Blocked)
-            out.push_back(host);
-    }
-    return out;
-}
-
-bool Ingress::isSuspect(const ActiveRequest& it) const
-{
-    const auto router = m_routers.find(it.call.service);
-    if (!m_suspects->knows(it.digest) || router == m_routers.end())
-        return false;
-    const auto& targets = router->second.targets;
-    return std::any_of(targets.begin(), targets.end(), [&](const auto& target) { return m_suspects->suspicionOf({ it.digest, target.second.endpoint.version }) != policy::Suspicion::None; });
-}
-
-std::optional<base::Error> Ingress::findBlock(const ActiveRequest& it) const
-{
-    const auto router = m_routers.find(it.call.service);
-    if (!m_suspects->knows(it.digest) || router == m_routers.end() || router->second.targets.empty())
-        return {};
-    std::optional<Duration> least;
-    for (const auto& [host, target] : router->second.targets) {
-        const Duration left = m_suspects->blockedFor({ it.digest, target.endpoint.version });
-        if (left <= Duration {})
-            return {};
-        least = std::min(least.value_or(left), left);
-    }
-    return base::fail(Code::RequestBlocked, "upstreams of " + it.call.service.text + " ended under this request", *least);
-}
-
 // A host froze, or a device on the path lost the state of the connection: no error is reported. A read that waited for the
 // link's own timeout would miss its deadline; since it may run twice, a copy is sent elsewhere now.
 void Ingress::onSuspected(const base::HostId& host)
@@ -344,7 +307,7 @@
     handler.end = [this, with](const CallEnd& end) { with([&](ActiveRequest& active, Attempt& attempt) { onEnd(active, attempt, end); }); };
     Call call = it.call;
     call.baseline = baselineFor(it, pick);
-    call.suspect = m_suspects->evidenceOf({ it.digest, pick.version });
+    call.suspect = m_suspectRequests->evidenceOf({ it.digest, pick.version });
     call.deadline = now + policy::timeLeft(it.call.deadline, now, made.local ? Duration { 0 } : oneWayLatency);
     if (made.local) {
         made.callId = m_owner->start(std::move(call), std::move(handler));
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -15,7 +15,7 @@
 using config::EndpointState;
 
 constexpr Duration tickInterval { 50 };
-constexpr Duration suspectsCheckInterval { 10'000 };
+constexpr Duration suspectRequestsCheckInterval { 10'000 };
 
 // The upstream announces draining only this long before the end of drainTime. It keeps running while its node stops; if it
 // drained for the whole stop, a service of three restarted one after the other had no upstream for a second. Other nodes
@@ -37,21 +37,21 @@
     , m_fromControl(&fromControl)
     , m_toControl(std::move(toControl))
     , m_incarnation(freshIncarnation())
-    , m_suspects({ [this](const std::vector<config::SuspectRequest>& seen) { tellSuspects(seen); },
-          [this](const config::SuspectRequest& learned) { relaySuspect(learned); } })
+    , m_suspectRequests({ [this](const std::vector<config::SuspectRequest>& seen) { tellSuspectRequests(seen); },
+          [this](const config::SuspectRequest& learned) { relaySuspectRequest(learned); } })
     , m_peers(loop, m_settings.membership,
           { [this](const base::HostId& host, const policy::Load& load) { m_ingress.onLoadReported(host, load); },
-              [this](const std::vector<config::SuspectRequest>& told) { onSuspectsTold(told); },
+              [this](const std::vector<config::SuspectRequest>& told) { onSuspectRequestsTold(told); },
               [this](const base::HostId& host) { m_ingress.onSuspected(host); } })
     , m_claims(loop, m_settings.membership.host, m_incarnation, m_peers)
-    , m_owner(loop, { m_settings.membership.host, m_settings.zone, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout }, m_claims, m_suspects,
+    , m_owner(loop, { m_settings.membership.host, m_settings.zone, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout }, m_claims, m_suspectRequests,
           { [this] { announceEndpoint(); }, [this](const policy::Load& load) {
                m_ownerLinks.broadcastLoad(load);
                m_ingress.onLoadReported(m_settings.membership.host, load); } })
     , m_ownerLinks(
           loop, m_settings.membership, m_owner, [this](const base::HostId&, const std::string& body, const OwnerLinks::Answer& answer) { answer(m_claims.receive(body)); },
-          [this](const std::vector<config::SuspectRequest>& told) { onSuspectsTold(told); })
-    , m_ingress(loop, { m_settings.membership.host, m_settings.zone, m_settings.service, m_settings.limits, m_settings.dialect, m_settings.features }, m_owner, m_peers, m_claims, m_suspects)
+          [this](const std::vector<config::SuspectRequest>& told) { onSuspectRequestsTold(told); })
+    , m_ingress(loop, { m_settings.membership.host, m_settings.zone, m_settings.service, m_settings.limits, m_settings.dialect, m_settings.features }, m_owner, m_peers, m_claims, m_suspectRequests)
     , m_announcePort(loop, [this](const Announcement& it) { m_owner.announce(it); })
 {
     m_controlReadable = event_new(
@@ -120,7 +120,7 @@
     m_endpointsReceived = true;
     std::vector<config::Endpoint> others;
     for (const config::Endpoint& it : message.endpoints) {
-        onSuspectsTold(it.suspects);
+        onSuspectRequestsTold(it.suspects);
         if (it.host != m_settings.membership.host)
             others.push_back(it); // for its own upstream, the node's local state is newer
     }
@@ -153,41 +153,41 @@
         it.version = upstream->version;
         it.slots = upstream->slots;
     }
-    it.suspects = m_suspects.published();
+    it.suspects = m_suspectRequests.published();
     m_ingress.setEndpoints({ it });
     m_toControl(inner::EndpointAnnounced { it });
 }
 
-void Node::onSuspectsTold(const std::vector<config::SuspectRequest>& told)
+void Node::onSuspectRequestsTold(const std::vector<config::SuspectRequest>& told)
 {
     for (const config::SuspectRequest& it : told)
-        m_suspects.onTold(it);
+        m_suspectRequests.onTold(it);
 }
 
 // Sent from node to node once for each link of the mesh, so only what is rare and must not wait: ends that confirm others,
 // and everything while control is away, which takes seconds to show.
 bool Node::isPassedOn(const config::SuspectRequest& it) const
 {
-    return !m_controlReachable || m_suspects.standingOf(it.key).order > 1;
+    return !m_controlReachable || m_suspectRequests.standingOf(it.key).order > 1;
 }
 
 // Callers' nodes on links hear of it before the call's end; all others through control.
-void Node::tellSuspects(const std::vector<config::SuspectRequest>& seen)
+void Node::tellSuspectRequests(const std::vector<config::SuspectRequest>& seen)
 {
     m_ownerLinks.broadcastLoad(m_owner.currentLoad(), seen);
     for (const config::SuspectRequest& it : seen) {
         if (isPassedOn(it))
-            m_peers.tellSuspects({ &it, 1 });
+            m_peers.tellSuspectRequests({ &it, 1 });
     }
     announceEndpoint();
 }
 
-void Node::relaySuspect(const config::SuspectRequest& learned)
+void Node::relaySuspectRequest(const config::SuspectRequest& learned)
 {
     if (!isPassedOn(learned))
         return;
     m_ownerLinks.broadcastLoad(m_owner.currentLoad(), { &learned, 1 });
-    m_peers.tellSuspects({ &learned, 1 });
+    m_peers.tellSuspectRequests({ &learned, 1 });
 }
 
 void Node::onTick()
@@ -202,9 +202,9 @@
         if (!evidence.empty())
             m_toControl(inner::EvidenceCollected { std::move(evidence) });
     }
-    if (now - m_suspectsCheckedAt >= suspectsCheckInterval) {
-        m_suspectsCheckedAt = now;
-        m_suspects.forgetOld();
+    if (now - m_suspectRequestsCheckedAt >= suspectRequestsCheckInterval) {
+        m_suspectRequestsCheckedAt = now;
+        m_suspectRequests.forgetOld();
     }
     if (!m_stopped)
         return;
@@ -256,7 +256,7 @@
     m_ingress.writeMetrics(out);
     m_owner.writeMetrics(out);
     m_ownerLinks.writeMetrics(out);
-    m_suspects.writeMetrics(out);
+    m_suspectRequests.writeMetrics(out);
     out.add("appletally_config_version", "", static_cast<double>(m_snapshot ? m_snapshot->version.value : 0));
     out.add("appletally_control_reachable", "", m_controlReachable ? 1 : 0);
     out.add("appletally_node_links", "direction=\"in\"", static_cast<double>(m_ownerLinks.links()));
@@ -277,7 +277,7 @@
     out["ingress"] = m_ingress.toJson();
     const InnerCounts& in = m_ownerLinks.counts();
     out["claims"] = m_claims.toJson();
-    out["suspects"] = m_suspects.toJson();
+    out["suspects"] = m_suspectRequests.toJson();
     out["links"] = { { "in", m_ownerLinks.links() }, { "out", m_peers.links() }, { "accepted", in.accepted }, { "refused", in.refused }, { "lost", in.lost } };
     out["events"] = base::recentEvents();
     return out;
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -9,7 +9,7 @@
 #include "appletally/node/owner_links.h"
 #include "appletally/node/peers.h"
 #include "appletally/node/settings.h"
-#include "appletally/node/suspects.h"
+#include "appletally/node/suspect_registry.h"
 
 #include <memory>
 
@@ -54,9 +54,9 @@
     void onMessage(const inner::ControlReachable&);
     void onMessage(const inner::DumpRequested&);
     void announceEndpoint();
-    void onSuspectsTold(const std::vector<config::SuspectRequest>&);
-    void tellSuspects(const std::vector<config::SuspectRequest>&);
-    void relaySuspect(const config::SuspectRequest&);
+    void onSuspectRequestsTold(const std::vector<config::SuspectRequest>&);
+    void tellSuspectRequests(const std::vector<config::SuspectRequest>&);
+    void relaySuspectRequest(const config::SuspectRequest&);
     bool isPassedOn(const config::SuspectRequest&) const; // over links, besides through control
     void openIngressIfReady();
     void onTick();
@@ -69,7 +69,7 @@
     ToControl m_toControl;
     base::Incarnation m_incarnation;
     base::Sequence m_sequence;
-    Suspects m_suspects;
+    SuspectRegistry m_suspectRequests;
     Peers m_peers;
     Claims m_claims;
     Owner m_owner;
@@ -81,7 +81,7 @@
     event* m_controlReadable = nullptr;
     event* m_tick = nullptr;
     base::Time m_reportedAt;
-    base::Time m_suspectsCheckedAt;
+    base::Time m_suspectRequestsCheckedAt;
     base::Time m_tickedAt = base::steadyNow();
     base::LoopStalls m_stalls;
     bool m_controlReachable = false;
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -23,11 +23,11 @@
 constexpr Duration busyTickInterval { 5 }; // upper bound on the delay of a refusal that has become certain
 constexpr Duration idleTickInterval { 250 }; // only announcements expire then; an idle node should use next to no CPU
 
-Owner::Owner(event_base* loop, OwnerSettings settings, Claims& claims, Suspects& suspects, Events events)
+Owner::Owner(event_base* loop, OwnerSettings settings, Claims& claims, SuspectRegistry& suspectRequests, Events events)
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_claims(&claims)
-    , m_suspects(&suspects)
+    , m_suspectRequests(&suspectRequests)
     , m_events(std::move(events))
 {
     m_admission.options = m_settings.admission;
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -13,7 +13,7 @@
 #include "appletally/node/call.h"
 #include "appletally/node/claims.h"
 #include "appletally/node/dialect.h"
-#include "appletally/node/suspects.h"
+#include "appletally/node/suspect_registry.h"
 #include "appletally/node/upstream_notices.h"
 #include "appletally/policy/admission.h"
 #include "appletally/policy/cold_start.h"
@@ -71,7 +71,7 @@
         std::function<void(const policy::Load&)> load;
     };
 
-    Owner(event_base*, OwnerSettings, Claims&, Suspects&, Events);
+    Owner(event_base*, OwnerSettings, Claims&, SuspectRegistry&, Events);
     ~Owner();
     Owner(const Owner&) = delete;
     Owner& operator=(const Owner&) = delete;
@@ -144,7 +144,7 @@
     event_base* m_loop;
     OwnerSettings m_settings;
     Claims* m_claims;
-    Suspects* m_suspects;
+    SuspectRegistry* m_suspectRequests;
     Events m_events;
     event* m_tick = nullptr;
     std::shared_ptr<const config::Snapshot> m_snapshot;
--- a/src/appletally/node/owner_ends.cpp
+++ b/src/appletally/node/owner_ends.cpp
@@ -67,7 +67,7 @@
         runs.push_back(it.run);
     }
     base::logEvent(base::Event::UpstreamEnded, runs.back().key.version.text + ": " + sign + "; it ran" + digests);
-    m_suspects->onUpstreamEnded(runs);
+    m_suspectRequests->onUpstreamEnded(runs);
 }
 
 // The same process has answered a run that began after these were lost.
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -25,12 +25,12 @@
     std::map<uint64_t, OwnerCallId> calls; // peer's call id to local call id, until the run has ended
 };
 
-OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim, OnSuspects onSuspects)
+OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim, OnSuspectRequests onSuspectRequests)
     : m_loop(loop)
     , m_membership(&membership)
     , m_owner(&owner)
     , m_onClaim(std::move(onClaim))
-    , m_onSuspects(std::move(onSuspects))
+    , m_onSuspectRequests(std::move(onSuspectRequests))
     , m_answers(loop)
 {
 }
@@ -142,7 +142,7 @@
     case LinkMessage::CLAIM:
         return onClaim(it, message.getClaim());
     case LinkMessage::SUSPECTS:
-        return m_onSuspects(inner::read(message.getSuspects()));
+        return m_onSuspectRequests(inner::read(message.getSuspects()));
     default:
         it.link->fail(base::fail(Code::MessageMalformed, "unexpected message type from a dialing node"));
     }
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -26,9 +26,9 @@
     using Answer = std::function<void(const std::string& body)>;
     using OnClaim = std::function<void(const base::HostId& peer, const std::string& body, Answer)>;
 
-    using OnSuspects = std::function<void(const std::vector<config::SuspectRequest>&)>;
+    using OnSuspectRequests = std::function<void(const std::vector<config::SuspectRequest>&)>;
 
-    OwnerLinks(event_base*, const inner::Membership&, Owner&, OnClaim, OnSuspects);
+    OwnerLinks(event_base*, const inner::Membership&, Owner&, OnClaim, OnSuspectRequests);
     ~OwnerLinks();
     OwnerLinks(const OwnerLinks&) = delete;
     OwnerLinks& operator=(const OwnerLinks&) = delete;
@@ -55,7 +55,7 @@
     const inner::Membership* m_membership;
     Owner* m_owner;
     OnClaim m_onClaim;
-    OnSuspects m_onSuspects;
+    OnSuspectRequests m_onSuspectRequests;
     AnswerSender m_answers;
     evconnlistener* m_listener = nullptr;
     std::list<std::shared_ptr<InboundLink>> m_links;
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -206,7 +206,7 @@
     const Duration left = it.call.deadline - now;
     it.stage = Stage::Running;
     it.version = m_upstream->version;
-    it.standing = m_suspects->standingOf({ it.digest, it.version });
+    it.standing = m_suspectRequests->standingOf({ it.digest, it.version });
     it.upstreamBusy = static_cast<int>(m_admission.running.size()) * 4 >= m_admission.slots.announced * 3;
     it.startedMicros = base::steadyMicros();
     const Duration wait = std::max(left, Duration { 1 });
@@ -315,7 +315,7 @@
     endClaim(it, error);
     if (!error) {
         forgetLostRunsBefore(it);
-        m_suspects->onAnswered({ it.digest, it.version });
+        m_suspectRequests->onAnswered({ it.digest, it.version });
     }
     const bool unreachable = error && error->code == Code::NoUpstream;
     const bool replaced = unreachable || it.misdirected;
@@ -405,7 +405,7 @@
         ++m_counts.failed;
     CallEnd end { std::move(error), currentLoad(), it.ranMicros, base::steadyMicros() - it.arrivedMicros, policy::observedRun(m_admission.runs, it.call.route).value_or(Duration {}), {} };
     if (end.error && m_upstream)
-        end.suspect = m_suspects->evidenceOf({ it.digest, it.version.empty() ? m_upstream->version : it.version });
+        end.suspect = m_suspectRequests->evidenceOf({ it.digest, it.version.empty() ? m_upstream->version : it.version });
     m_runningSuspects.erase(it.id);
     auto handler = std::move(it.handler);
     const bool detached = it.detached;
--- a/src/appletally/node/owner_suspects.cpp
+++ b/src/appletally/node/owner_suspects.cpp
@@ -19,7 +19,7 @@
 {
     if (!m_upstream)
         return {};
-    const Duration left = m_suspects->blockedFor({ it.digest, m_upstream->version });
+    const Duration left = m_suspectRequests->blockedFor({ it.digest, m_upstream->version });
     if (left <= Duration {})
         return {};
     return base::fail(Code::RequestBlocked, "upstreams of version " + m_upstream->version.text + " ended under this request", left);
@@ -29,12 +29,12 @@
 {
     const config::RequestOnVersion key { it.digest, m_upstream->version };
     if (it.call.suspect)
-        m_suspects->onTold(*std::exchange(it.call.suspect, {}));
+        m_suspectRequests->onTold(*std::exchange(it.call.suspect, {}));
     if (auto error = findBlock(it)) {
         refuse(it, *error);
         return true;
     }
-    if (m_suspects->suspicionOf(key) == policy::Suspicion::None)
+    if (m_suspectRequests->suspicionOf(key) == policy::Suspicion::None)
         return false;
     const base::Time now = base::steadyNow();
     const bool sameRuns = std::any_of(m_runningSuspects.begin(), m_runningSuspects.end(), [&](const auto& running) { return running.second == key; });
--- a/src/appletally/node/peers.cpp
+++ b/src/appletally/node/peers.cpp
@@ -157,7 +157,7 @@
         return;
     case LinkMessage::LOAD:
         if (message.getLoad().hasSuspects())
-            m_events.suspects(inner::read(message.getLoad().getSuspects()));
+            m_events.suspectRequests(inner::read(message.getLoad().getSuspects()));
         return m_events.load(link.host, readLoad(message.getLoad()));
     case LinkMessage::CLAIM: {
         auto it = link.claims.find(message.getClaim().getId());
@@ -245,7 +245,7 @@
         answer({});
 }
 
-void Peers::tellSuspects(std::span<const config::SuspectRequest> suspects)
+void Peers::tellSuspectRequests(std::span<const config::SuspectRequest> suspects)
 {
     capnp::MallocMessageBuilder out;
     inner::write(out.initRoot<LinkMessage>().initSuspects(static_cast<unsigned>(suspects.size())), suspects);
--- a/src/appletally/node/peers.h
+++ b/src/appletally/node/peers.h
@@ -19,7 +19,7 @@
 public:
     struct Events {
         std::function<void(const base::HostId&, const policy::Load&)> load; // unsolicited load report of an owner
-        std::function<void(const std::vector<config::SuspectRequest>&)> suspects; // from an owner: those that have changed
+        std::function<void(const std::vector<config::SuspectRequest>&)> suspectRequests; // from an owner: those that have changed
         std::function<void(const base::HostId&)> suspected; // the host is unresponsive; see suspects()
     };
     // The body is empty if the keeper did not answer or could not be reached.
@@ -34,7 +34,7 @@
     void cancel(PeerCallId); // no callback follows
     void consumed(PeerCallId, uint64_t bytes);
 
-    void tellSuspects(std::span<const config::SuspectRequest>); // to the owners on all established links
+    void tellSuspectRequests(std::span<const config::SuspectRequest>); // to the owners on all established links
     void sendClaimMessage(const base::HostId&, const base::Address&, const std::string& body, OnClaimAnswer);
     // Hosts from which nothing was received for maxFreshLinkAge, though their links are not closed yet. Idempotent requests
     // should be sent elsewhere too; others wait for the link's own timeout, since abandoning them makes their outcome unknown.
--- a/src/appletally/node/suspects.cpp
+++ b/src/appletally/node/suspect_registry.cpp
@@ -1,5 +1,5 @@
-// Publishes what this node has seen, and logs verdicts; see suspects.h.
-#include "appletally/node/suspects.h"
+// Publishes what this node has seen, and logs verdicts; see suspect_registry.h.
+#include "appletally/node/suspect_registry.h"
 
 #include "appletally/base/log.h"
 #include "appletally/inner/cluster_key.h"
@@ -16,28 +16,28 @@
 // More than the slots of most upstreams: all that ran at an end fits. At about 60 bytes each the record stays below 2 KB.
 constexpr size_t maxPublished = 32;
 
-Suspects::Suspects(Events events)
+SuspectRegistry::SuspectRegistry(Events events)
     : m_events(std::move(events))
 {
 }
 
-Suspicion Suspects::suspicionOf(const RequestOnVersion& key) const { return policy::suspicionOf(m_state, key, base::steadyNow()); }
+Suspicion SuspectRegistry::suspicionOf(const RequestOnVersion& key) const { return policy::suspicionOf(m_state, key, base::steadyNow()); }
 
-bool Suspects::knows(base::RequestDigest request) const
+bool SuspectRegistry::knows(base::RequestDigest request) const
 {
     const auto first = m_state.known.lower_bound({ request, {} });
     return first != m_state.known.end() && first->first.request == request;
 }
 
-base::Duration Suspects::blockedFor(const RequestOnVersion& key) const { return policy::blockedFor(m_state, key, base::steadyNow()); }
+base::Duration SuspectRegistry::blockedFor(const RequestOnVersion& key) const { return policy::blockedFor(m_state, key, base::steadyNow()); }
 
-std::optional<SuspectRequest> Suspects::evidenceOf(const RequestOnVersion& key) const
+std::optional<SuspectRequest> SuspectRegistry::evidenceOf(const RequestOnVersion& key) const
 {
     const SuspectRequest* known = policy::evidenceOf(m_state, key);
     return known ? std::optional(*known) : std::nullopt;
 }
 
-void Suspects::onUpstreamEnded(std::span<const policy::RunAtEnd> runs)
+void SuspectRegistry::onUpstreamEnded(std::span<const policy::RunAtEnd> runs)
 {
     std::map<RequestOnVersion, Suspicion> before;
     for (const policy::RunAtEnd& it : runs)
@@ -47,7 +47,7 @@
         logVerdict(key, suspicion);
 }
 
-void Suspects::onAnswered(const RequestOnVersion& key)
+void SuspectRegistry::onAnswered(const RequestOnVersion& key)
 {
     const Suspicion before = suspicionOf(key);
     const auto changed = policy::onAnswered(m_state, key, base::steadyNow());
@@ -57,7 +57,7 @@
     logVerdict(key, before);
 }
 
-void Suspects::onTold(const SuspectRequest& told)
+void SuspectRegistry::onTold(const SuspectRequest& told)
 {
     const Suspicion before = suspicionOf(told.key);
     const policy::MergeResult result = policy::merge(m_state, told, base::steadyNow());
@@ -70,13 +70,13 @@
         m_events.learned(*evidenceOf(told.key));
 }
 
-void Suspects::forgetOld()
+void SuspectRegistry::forgetOld()
 {
     policy::forgetOld(m_state, base::steadyNow());
     std::erase_if(m_own, [&](const RequestOnVersion& key) { return !m_state.known.contains(key); });
 }
 
-void Suspects::publish(const std::vector<SuspectRequest>& changed)
+void SuspectRegistry::publish(const std::vector<SuspectRequest>& changed)
 {
     if (changed.empty())
         return;
@@ -89,7 +89,7 @@
     m_events.seen(changed);
 }
 
-std::vector<SuspectRequest> Suspects::published() const
+std::vector<SuspectRequest> SuspectRegistry::published() const
 {
     std::vector<SuspectRequest> out;
     for (const RequestOnVersion& key : m_own) {
@@ -99,7 +99,7 @@
     return out;
 }
 
-void Suspects::logVerdict(const RequestOnVersion& key, Suspicion before) const
+void SuspectRegistry::logVerdict(const RequestOnVersion& key, Suspicion before) const
 {
     const Suspicion now = suspicionOf(key);
     if ((now == Suspicion::Blocked) == (before == Suspicion::Blocked))
@@ -112,7 +112,7 @@
         base::logEvent(base::Event::RequestUnblocked, text + ": an upstream has answered it");
 }
 
-nlohmann::json Suspects::toJson() const
+nlohmann::json SuspectRegistry::toJson() const
 {
     nlohmann::json out = nlohmann::json::array();
     for (const auto& [key, it] : m_state.known) {
@@ -124,7 +124,7 @@
     return out;
 }
 
-void Suspects::writeMetrics(base::MetricsText& out) const
+void SuspectRegistry::writeMetrics(base::MetricsText& out) const
 {
     size_t suspected = 0;
     size_t blocked = 0;
--- a/src/appletally/node/suspects.h
+++ b/src/appletally/node/suspect_registry.h
@@ -13,14 +13,14 @@
 
 namespace appletally::node {
 
-class Suspects {
+class SuspectRegistry {
 public:
     struct Events {
         std::function<void(const std::vector<config::SuspectRequest>&)> seen; // by this node itself: all others must be told
         std::function<void(const config::SuspectRequest&)> learned; // from another node, and new here
     };
 
-    explicit Suspects(Events);
+    explicit SuspectRegistry(Events);
 
     policy::Suspicion suspicionOf(const config::RequestOnVersion&) const;
     policy::Standing standingOf(const config::RequestOnVersion& key) const { return policy::standingOf(m_state, key); }
