A process that closes its listening socket last counts as ended

Cause: the check after a lost run took one accepted connection for a sign of life, but a process that ends closes its sockets one after the other, and a connection may still be accepted by the kernel just before the listening one closes. That end was not seen.

Now an accepted connection must stay open for 3 ms; if it closes, the check connects again, three times at most. A lost answer is reported 3 ms later than before, in place of a pause of 5 to 50 ms that follows anyway.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -23,6 +23,9 @@
     // An upstream's Keep-Alive timeout starts when it sends its answer, which is before the answer arrives here.
     constexpr Duration keepAliveMargin { 1000 };
 
+    constexpr int maxRepeatedChecks = 3; // of an upstream that accepts connections and closes them
+    constexpr Duration settleTime { 3 }; // within which a connection to a process that is ending closes
+
     constexpr int64_t secondsUnknown = -1;
 
     // Parses values such as "timeout=5, max=100".
@@ -90,6 +93,8 @@
 
 UpstreamConnection::~UpstreamConnection()
 {
+    if (settleTimer)
+        event_free(settleTimer);
     if (buffers)
         bufferevent_free(buffers);
 }
@@ -140,21 +145,38 @@
             onDialedIdle();
         return;
     }
-    if (const auto done = std::exchange(onDialed, {})) {
-        client.drop(*this);
-        return done((what & BEV_EVENT_TIMEOUT) != 0); // a frozen process does not refuse
-    }
+    if (onDialed && !call)
+        return onDialedClosed(what);
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
         onClosed((what & BEV_EVENT_EOF) != 0);
 }
 
 void UpstreamConnection::onDialedIdle()
 {
-    const auto done = std::exchange(onDialed, {});
     idleTimeout = client.m_limits.maxIdleTimeUnused;
     client.keepIdle(*this);
-    if (done)
-        done(true);
+    if (!onDialed)
+        return;
+    settleTimer = event_new(
+        client.m_loop, -1, 0, [](evutil_socket_t, short, void* arg) {
+            const auto done = std::exchange(static_cast<UpstreamConnection*>(arg)->onDialed, {});
+            if (done)
+                done(true);
+        },
+        this);
+    const timeval wait = base::toTimeval(settleTime);
+    event_add(settleTimer, &wait);
+}
+
+// A process that ends closes its sockets one after the other, the listening one perhaps last.
+void UpstreamConnection::onDialedClosed(short what)
+{
+    const auto done = std::exchange(onDialed, {});
+    const bool wasConnected = connected;
+    client.drop(*this);
+    if (wasConnected && dialsLeft > 0)
+        return client.checkListening(done, dialsLeft - 1);
+    done(wasConnected || (what & BEV_EVENT_TIMEOUT) != 0); // a frozen process does not refuse
 }
 
 void UpstreamConnection::onReadable()
@@ -299,10 +321,14 @@
     return it;
 }
 
-void UpstreamClient::checkListening(std::function<void(bool listening)> done)
+void UpstreamClient::checkListening(std::function<void(bool listening)> done) { checkListening(std::move(done), maxRepeatedChecks); }
+
+void UpstreamClient::checkListening(std::function<void(bool listening)> done, int dialsLeft)
 {
     ++m_counts.dialed;
-    dial()->onDialed = std::move(done);
+    UpstreamConnection* it = dial();
+    it->onDialed = std::move(done);
+    it->dialsLeft = dialsLeft;
 }
 
 // Takes the most recently used connection, since it is the least likely to be closed by the upstream.
@@ -359,6 +385,7 @@
         return;
     it.dropped = true;
     it.call = nullptr;
+    it.onDialed = {};
     std::erase(m_idle, &it);
     bufferevent_disable(it.buffers, EV_READ | EV_WRITE);
     bufferevent_setcb(it.buffers, nullptr, nullptr, nullptr, nullptr);
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -97,8 +97,8 @@
 
     // The pointer is valid until `end` is called or the call is cancelled. start() itself calls no callback.
     UpstreamCall* start(UpstreamRequest, UpstreamHandler);
-    // Connects once: tells a process that ended from one that closed a single connection. `done` gets false if the
-    // connection is refused. One that is accepted serves a later request.
+    // Connects: tells a process that ended from one that closed a single connection. `done` gets false if the connection is
+    // refused. One that is accepted and stays open serves a later request.
     void checkListening(std::function<void(bool listening)> done);
     const base::Address& address() const { return m_address; }
     size_t idleConnections() const { return m_idle.size(); }
@@ -109,6 +109,7 @@
     friend struct UpstreamConnection;
     UpstreamConnection* takeIdle(bool idempotent);
     UpstreamConnection* dial();
+    void checkListening(std::function<void(bool listening)> done, int dialsLeft);
     void finish(UpstreamCall&, std::optional<base::Error>, uint64_t bodyBytes);
     void keepIdle(UpstreamConnection&); // makes the connection available for the next request
     void drop(UpstreamConnection&);
--- a/src/appletally/http/upstream_connection.h
+++ b/src/appletally/http/upstream_connection.h
@@ -18,6 +18,7 @@
     void onReadable();
     void onEvent(short what);
     void onDialedIdle();
+    void onDialedClosed(short what);
     bool step(); // false: wait for more bytes
     void onAnswerHead();
     void onAnswerEnd();
@@ -28,6 +29,8 @@
     bufferevent* buffers = nullptr;
     UpstreamCall* call = nullptr; // null: idle
     std::function<void(bool listening)> onDialed; // of checkListening(), until the outcome is known
+    int dialsLeft = 0; // of that check
+    event* settleTimer = nullptr; // with onDialed, once connected
     MessageReader reader;
     bool connected = false;
     bool dropped = false;
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -19,6 +19,7 @@
     base::Address address;
     std::vector<bufferevent*> connections; // in the order in which they were accepted
     std::vector<std::string> received; // on each connection
+    bool ending = false; // closes the next connection as soon as it is accepted, then its listening socket
 
     ScriptedUpstream()
     {
@@ -36,12 +37,17 @@
     {
         for (bufferevent* it : connections)
             bufferevent_free(it);
-        evconnlistener_free(listener);
+        if (listener)
+            evconnlistener_free(listener);
         event_base_free(loop);
     }
 
     void accept(evutil_socket_t fd)
     {
+        if (ending) {
+            evutil_closesocket(fd);
+            return evconnlistener_free(std::exchange(listener, nullptr));
+        }
         bufferevent* made = bufferevent_socket_new(loop, fd, BEV_OPT_CLOSE_ON_FREE);
         connections.push_back(made);
         received.emplace_back();
@@ -281,3 +287,28 @@
     CHECK(next.body == "right");
     CHECK_FALSE(testCall.end.has_value());
 }
+
+TEST_CASE("a process that closes a new connection before it stops listening counts as ended", "[upstream-client]")
+{
+    // At the end of a process its listening socket may be the last that closes, so one accepted connection proves nothing.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    upstream.ending = true;
+    std::optional<bool> listening;
+    client.checkListening([&](bool it) { listening = it; });
+    REQUIRE(upstream.run([&] { return listening.has_value(); }));
+    CHECK(listening == false);
+}
+
+TEST_CASE("a process that goes on listening does not count as ended, and the connection serves the next request", "[upstream-client]")
+{
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    std::optional<bool> listening;
+    client.checkListening([&](bool it) { listening = it; });
+    REQUIRE(upstream.run([&] { return listening.has_value(); }));
+    CHECK(listening == true);
+    client.start({ "GET", "/berths/1", {}, "", true, "", "" }, {});
+    REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /berths/1"); }));
+    CHECK(upstream.connections.size() == 1);
+}
