--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -400,13 +400,13 @@
     m_reporting = true;
     const base::Duration batchTime = std::exchange(m_reportUrgent, false) ? base::Duration {} : reportBatchInterval;
     m_linkTasks->add(m_timer.afterDelay(batchTime.ms * kj::MILLISECONDS).then([this]() -> kj::Promise<void> {
-                                                                                      const NodeReport report = takePendingReport();
-                                                                                      if (report.empty())
-                                                                                          return kj::READY_NOW;
-                                                                                      auto request = m_link->session.castAs<rpc::Source>().reportRequest();
-                                                                                      write(request.initReport(), report);
-                                                                                      return request.send().ignoreResult();
-                                                                                  })
+                                                                            const NodeReport report = takePendingReport();
+                                                                            if (report.empty())
+                                                                                return kj::READY_NOW;
+                                                                            auto request = m_link->session.castAs<rpc::Source>().reportRequest();
+                                                                            write(request.initReport(), report);
+                                                                            return request.send().ignoreResult();
+                                                                        })
                          .then([this] {
                              m_reporting = false;
                              if (m_endpointsDirty || m_appliedVersionDirty || !m_evidenceDirty.empty())
--- a/tests/suspect_requests_test.cpp
+++ b/tests/suspect_requests_test.cpp
@@ -70,9 +70,7 @@
 {
     // Power, a crash of several hosts, or an evacuation ends upstreams together, under whatever they all ran.
     Hosts it(4);
-    std::vector<RunAtEnd> runs;
-    for (int n = 0; n < 4; ++n)
-        runs.push_back(it.begin(n, fatal));
+    const std::vector<RunAtEnd> runs { it.begin(0, fatal), it.begin(1, fatal), it.begin(2, fatal), it.begin(3, fatal) };
     for (int n = 0; n < 4; ++n)
         it.end(n, { runs[static_cast<size_t>(n)] });
     CHECK(it.at(0) == Suspicion::Suspected);
--- a/tests/upstream_end_test.cpp
+++ b/tests/upstream_end_test.cpp
@@ -22,7 +22,7 @@
 
     std::shared_ptr<TestAnswer> beginRead()
     {
-        const auto out = mesh.ask(node, "GET", "/berths/7");
+        auto out = mesh.ask(node, "GET", "/berths/7");
         REQUIRE(mesh.run([&] { return upstream.held.size() == 1; }));
         return out;
     }
