--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -490,6 +491,7 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("begin", trouble=trouble)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # through the case's `finally`, which ends its processes
     try:
         status = asyncio.run(asyncio.wait_for(main(record, trouble), 110))
     except (CannotRun, asyncio.TimeoutError) as problem:
