Review: an error of a stand-in ends a case with 2, not with 1

Without the build of the deploy file case 1 ended with 1 and without its cleanup: reading the logs failed first. Every unexpected error now ends a case with 2, after its processes have ended.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,6 +60,18 @@
     return status
 
 
+def note_logs(mesh, record):
+    """What the control processes say of a snapshot that they can't read; for the record only."""
+    for it in mesh.controls:
+        path = os.path.join(mesh.folder.name, it.name + ".log")
+        if not os.path.exists(path):
+            continue
+        with open(path, errors="replace") as log:
+            for line in log:
+                if "cannot decode" in line:
+                    record.add("log", machine=it.name, line=line.strip())
+
+
 async def main(record, trouble):
     mesh = Mesh(record, "mvs-berthgrid", ["plugctl"] * 6 + ["berthview"] * 4)
     try:
@@ -111,11 +123,7 @@
         print(text)
         return 1 if gone else 0
     finally:
-        for it in mesh.controls:
-            with open(os.path.join(mesh.folder.name, it.name + ".log")) as log:
-                for line in log:
-                    if "cannot decode" in line:
-                        record.add("log", machine=it.name, text=json.loads(line).get("text"))
+        note_logs(mesh, record)
         mesh.end_all()
 
 
--- a/review/lib/mesh.py
+++ b/review/lib/mesh.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 SITES = {  # region, memory_mb of a node, cpu_share of a node and of a control process, slots of a server
@@ -496,7 +497,11 @@
         status = asyncio.run(asyncio.wait_for(main(record, trouble), 110))
     except (CannotRun, asyncio.TimeoutError) as problem:
         record.add("could not run", why=str(problem) or "too long")
-        print("could not run: %s" % (problem or "too long"))
+        print("could not run: %s" % (str(problem) or "too long"))
+        status = 2
+    except Exception as problem:  # an error of the stand-ins says nothing of the system
+        traceback.print_exc()
+        record.add("could not run", why=repr(problem))
         status = 2
     record.close()
     return status
