A broken download behind a running command no longer ends the command's connection

What callers saw: a command (POST) and, behind it on the same connection, a download. When the download's upstream broke off its answer, the connection was reset.

Cause: an answer above 256 KB is streamed into the output that its exchange holds while the answers in front are due. The node did not tell an answer of which nothing had left from one whose head was sent: a break, and likewise the deadline, ended the connection with its whole queue.

Evidence: the logs could not tell the two, so there are two events now, 516 answer-taken-back and 517 answer-aborted, and counters of running requests that a broken answer took along.

Change, for whatever shares the connection: - a held answer is taken back: its request is retried as if it had not been streamed, or answered with a failure in its place. The same at the deadline, and for final answers of a node that exits; - nothing is started behind a streamed answer, and one with running requests behind it is held until it is complete, within 16 MB for all connections of a node; a break then costs only itself; - a held answer is read on within that memory, and so does not keep its upstream's slot and its link's window until the answers in front are done; - an answer that does break after its head was sent ends its connection in order if it has a length or chunks. A reset, which discards earlier answers that the caller has not read, is left to answers without either.

--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -54,6 +54,8 @@
     { Event::RequestRefused, "request-refused", "the caller was informed that its request has not run, and why", "see OPERATIONS, refused under load", 1 },
     { Event::RequestRetried, "request-tried-again", "an attempt failed and another one follows", "none", 0 },
     { Event::RequestCancelled, "request-cancelled", "the caller disconnected before its answer was complete", "none", 0 },
+    { Event::AnswerTakenBack, "answer-taken-back", "a large answer broke before any of it was sent to the caller; the request is tried again or gets a failure", "none", 0 },
+    { Event::AnswerAborted, "answer-aborted", "a large answer broke after its head was sent; the caller's connection was closed", "find the failure on its path", 1 },
     { Event::CallQueued, "call-queued", "at the owner: the call waits for a slot", "none", 0 },
     { Event::CallRefused, "call-refused", "at the owner: the call does not run, and why", "see OPERATIONS, refused under load", 1 },
     { Event::CallEnded, "call-ended", "at the owner: the upstream's answer is complete", "none", 0 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -64,6 +64,8 @@
     RequestRefused = 513,
     RequestRetried = 514,
     RequestCancelled = 515,
+    AnswerTakenBack = 516,
+    AnswerAborted = 517,
     CallQueued = 521,
     CallRefused = 522,
     CallEnded = 523,
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -45,17 +45,40 @@
 
 CallerExchange::~CallerExchange()
 {
+    releaseHeld();
     if (m_heldOutput)
         evbuffer_free(m_heldOutput);
 }
 
-evbuffer* CallerExchange::output() const
+bool CallerExchange::isFront() const { return !m_connection->queue.empty() && m_connection->queue.front().get() == this; }
+
+// A held answer is read on without a pause while there is memory for it: its upstream's slot is not kept until the answers
+// before it are complete.
+size_t CallerExchange::backlog() const
 {
-    const bool front = !m_connection->queue.empty() && m_connection->queue.front().get() == this;
-    return front ? bufferevent_get_output(m_connection->buffers) : m_heldOutput;
+    if (m_headSent)
+        return evbuffer_get_length(bufferevent_get_output(m_connection->buffers));
+    const CallerListener& listener = m_connection->listener;
+    return listener.m_heldBytes < listener.m_limits.maxHeldBytes ? 0 : evbuffer_get_length(m_heldOutput);
 }
 
-size_t CallerExchange::backlog() const { return evbuffer_get_length(output()); }
+bool CallerExchange::mayEndConnection() const { return m_streaming; }
+
+void CallerExchange::hold(evbuffer* buf)
+{
+    const size_t n = evbuffer_get_length(buf);
+    evbuffer_add_buffer(m_heldOutput, buf);
+    if (!m_streaming || m_headSent)
+        return;
+    m_heldBytes += n;
+    m_connection->listener.m_heldBytes += n;
+}
+
+void CallerExchange::releaseHeld()
+{
+    if (m_heldBytes > 0) // otherwise the listener may be gone
+        m_connection->listener.m_heldBytes -= std::exchange(m_heldBytes, 0);
+}
 
 void CallerExchange::writeHead(int status, const std::vector<HeaderField>& headers, int64_t length)
 {
@@ -66,6 +89,7 @@
     for (const HeaderField& it : headers)
         out += it.name + ": " + it.value + "\r\n";
     m_chunked = length < 0 && !m_isHttp10;
+    m_endsWithConnection = length < 0 && m_isHttp10;
     if (m_chunked)
         out += "Transfer-Encoding: chunked\r\n";
     else if (length >= 0)
@@ -73,45 +97,67 @@
     if (m_closesConnection)
         out += "Connection: close\r\n";
     out += "\r\n";
-    evbuffer_add(output(), out.data(), out.size());
+    evbuffer_add(m_heldOutput, out.data(), out.size());
 }
 
 void CallerExchange::reply(int status, const std::vector<HeaderField>& headers, const std::string& body)
 {
     writeHead(status, headers, static_cast<int64_t>(body.size()));
     if (m_request.method != "HEAD")
-        evbuffer_add(output(), body.data(), body.size());
+        evbuffer_add(m_heldOutput, body.data(), body.size());
     m_answered = true;
     m_connection->answered();
 }
 
-void CallerExchange::startStream(int status, const std::vector<HeaderField>& headers, int64_t length) { writeHead(status, headers, length); }
+void CallerExchange::startStream(int status, const std::vector<HeaderField>& headers, int64_t length)
+{
+    m_streaming = true;
+    writeHead(status, headers, length);
+}
 
 void CallerExchange::streamBody(evbuffer* buf)
 {
     const size_t n = evbuffer_get_length(buf);
     if (n == 0)
         return;
-    evbuffer* out = output();
     if (m_chunked)
-        evbuffer_add_printf(out, "%zx\r\n", n);
-    evbuffer_add_buffer(out, buf);
+        evbuffer_add_printf(m_heldOutput, "%zx\r\n", n);
+    hold(buf);
     if (m_chunked)
-        evbuffer_add(out, "\r\n", 2);
+        evbuffer_add(m_heldOutput, "\r\n", 2);
+    if (isFront())
+        m_connection->writeFront();
 }
 
 void CallerExchange::endStream()
 {
     if (m_chunked)
-        evbuffer_add(output(), "0\r\n\r\n", 5);
+        evbuffer_add(m_heldOutput, "0\r\n\r\n", 5);
+    m_streaming = false;
     m_answered = true;
     m_connection->answered();
 }
 
+bool CallerExchange::takeBack()
+{
+    if (m_headSent)
+        return false;
+    evbuffer_drain(m_heldOutput, evbuffer_get_length(m_heldOutput));
+    releaseHeld();
+    m_streaming = false;
+    ++m_connection->listener.m_counts.takenBack;
+    return true;
+}
+
 void CallerExchange::abort()
 {
     onGone = nullptr;
     onDrained = nullptr;
+    ListenerCounts& counts = m_connection->listener.m_counts;
+    ++counts.abortedAnswers;
+    counts.lostBehindAborted += m_connection->runningBehindFront();
+    if (isFront() && m_headSent && !m_endsWithConnection)
+        return m_connection->closeAfterAnswers(); // the length or the missing last chunk shows that it is truncated
     // For an answer without a length, an orderly close would mark its end; a reset never does.
     const linger reset { 1, 0 };
     setsockopt(bufferevent_getfd(m_connection->buffers), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
@@ -281,6 +327,8 @@
 {
     for (size_t n = 0; n < queue.size() && !dropped; ++n) {
         CallerExchange& it = *queue[n];
+        if (it.m_started && it.mayEndConnection())
+            return;
         if (it.m_started)
             continue;
         if (n > 0 && !listener.m_hooks.mayOverlap(it.m_request))
@@ -294,7 +342,7 @@
 void CallerConnection::answered()
 {
     while (!dropped && !queue.empty() && queue.front()->m_answered) {
-        flushFront();
+        writeFront();
         const bool closes = queue.front()->m_closesConnection;
         listener.m_endedExchanges.push_back(std::move(queue.front()));
         queue.pop_front();
@@ -303,7 +351,7 @@
         if (closes)
             return closeAfterAnswers();
         if (!queue.empty())
-            flushFront();
+            onNewFront();
     }
     if (dropped)
         return;
@@ -312,10 +360,37 @@
         readRequests(); // requests that did not fit in the queue
 }
 
-void CallerConnection::flushFront()
+void CallerConnection::onNewFront()
 {
-    if (queue.front()->m_heldOutput)
-        evbuffer_add_buffer(bufferevent_get_output(buffers), queue.front()->m_heldOutput);
+    writeFront();
+    CallerExchange& it = *queue.front();
+    if (it.m_streaming && !it.m_headSent && it.onDrained)
+        it.onDrained(); // it may have paused for lack of memory, which it need not do at the front
+}
+
+size_t CallerConnection::runningBehindFront() const
+{
+    return static_cast<size_t>(std::count_if(queue.begin() + 1, queue.end(), [](const auto& it) { return it->m_started; }));
+}
+
+bool CallerConnection::mustHoldBack(const CallerExchange& front) const
+{
+    return front.m_streaming && !front.m_headSent && runningBehindFront() > 0;
+}
+
+void CallerConnection::writeFront()
+{
+    CallerExchange& it = *queue.front();
+    if (evbuffer_get_length(it.m_heldOutput) == 0)
+        return;
+    if (mustHoldBack(it)) {
+        if (listener.m_heldBytes < listener.m_limits.maxHeldBytes)
+            return;
+        ++listener.m_counts.sentUnprotected;
+    }
+    it.m_headSent = true;
+    it.releaseHeld();
+    evbuffer_add_buffer(bufferevent_get_output(buffers), it.m_heldOutput);
 }
 
 // Requests after the last answer count as not read; the caller resends them on another connection.
--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -31,7 +31,10 @@
     void reject(base::Code, const std::string& text); // answers with an error and closes
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
-    void flushFront(); // writes the held output of the exchange at the front
+    void onNewFront();
+    void writeFront(); // writes the held output of the exchange at the front, unless it must be held back further
+    bool mustHoldBack(const CallerExchange& front) const;
+    size_t runningBehindFront() const; // requests that lose their answers if the connection ends with the front answer
     void closeAfterAnswers();
     void startLinger();
     void drop(); // closes immediately and calls onGone of the running exchanges
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -7,6 +7,11 @@
 //
 // Callers may pipeline requests. Requests run concurrently where that is safe; their answers wait for the answers before
 // them. The connection is read throughout, which is how a disconnect is detected while a request runs.
+//
+// An answer that breaks after its head was sent ends the connection, and all answers behind it are lost. So nothing is
+// started behind a streamed answer, and one that already has running requests behind it is held back until it is complete,
+// as far as `maxHeldBytes` allows. A held answer that breaks is taken back, and its request is retried or answered with a
+// failure.
 #pragma once
 
 #include "appletally/base/clock.h"
@@ -30,6 +35,7 @@
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
+    size_t maxHeldBytes = 16 * 1024 * 1024; // of all streamed answers that are held back; above it they pause, or are sent unprotected
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
     base::Duration receiveTimeout { 10000 }; // from a request's first byte to its last
     base::Duration idleTimeout { 60000 }; // between requests
@@ -44,6 +50,10 @@
     uint64_t tooSlow = 0;
     uint64_t closedEarly = 0; // connections that ended before the answer was written
     uint64_t rejected = 0; // connections over maxConnections
+    uint64_t takenBack = 0; // broken answers of which nothing had been sent
+    uint64_t abortedAnswers = 0; // broken answers that ended their connection
+    uint64_t lostBehindAborted = 0; // running requests that ended with it
+    uint64_t sentUnprotected = 0; // streamed answers sent with running requests behind them, for lack of memory
 };
 
 struct CallerRequest {
@@ -65,13 +75,15 @@
     const CallerRequest& request() const { return m_request; }
 
     // Call either reply() once, or startStream(), then streamBody() any number of times, then endStream() or abort().
-    // The exchange must not be used after reply(), endStream() or abort().
+    // The exchange must not be used after reply(), endStream() or abort(). After a successful takeBack() it is as if
+    // startStream() had not been called.
     void reply(int status, const std::vector<HeaderField>&, const std::string& body);
     void startStream(int status, const std::vector<HeaderField>&, int64_t length); // -1: chunked
     void streamBody(evbuffer*); // drains the buffer
     void endStream();
-    void abort(); // resets the connection: the only way to signal that a started answer is truncated
-    size_t backlog() const; // answer bytes not yet written to the socket
+    bool takeBack(); // discards a streamed answer that is still held back; false: its head has been sent
+    void abort(); // ends the connection: the only way to signal that a started answer is truncated
+    size_t backlog() const; // answer bytes that must be written before the stream's producer may go on
 
     std::function<void()> onDrained; // called when the backlog has become empty
     std::function<void()> onGone; // called when the connection is dropped; the exchange is deleted afterwards
@@ -80,16 +92,23 @@
     friend class CallerListener;
     friend struct CallerConnection;
     CallerExchange() = default;
-    evbuffer* output() const;
+    bool isFront() const;
+    bool mayEndConnection() const; // nothing may be started behind it
     void writeHead(int status, const std::vector<HeaderField>&, int64_t length);
+    void hold(evbuffer*); // appends to the held output
+    void releaseHeld(); // the held output is empty now
 
     CallerRequest m_request;
     CallerConnection* m_connection = nullptr;
-    evbuffer* m_heldOutput = nullptr; // answer bytes held back until the answers before this one are written
+    evbuffer* m_heldOutput = nullptr; // answer bytes held back, see CallerConnection::writeFront()
+    size_t m_heldBytes = 0; // counted in CallerListener::m_heldBytes
     bool m_callerKeepsAlive = true; // the caller keeps the connection open after this request
     bool m_isHttp10 = false; // HTTP/1.0: no chunked encoding
     bool m_started = false; // passed to the node
     bool m_chunked = false;
+    bool m_endsWithConnection = false; // neither a length nor chunks: the end of the connection marks the end of the answer
+    bool m_streaming = false; // startStream() was called, and the answer is not complete
+    bool m_headSent = false; // the answer can no longer be taken back
     bool m_closesConnection = false; // the answer has "Connection: close"
     bool m_answered = false;
 };
@@ -120,6 +139,7 @@
     bool allConnectionsClosed() const { return m_connections.empty(); } // all answers are written: the process may end without truncating one
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
+    size_t heldBytes() const { return m_heldBytes; } // of streamed answers that are held back
 
 private:
     friend struct CallerConnection;
@@ -140,6 +160,7 @@
     std::vector<std::unique_ptr<CallerConnection>> m_closedConnections; // deleted from the event loop
     std::vector<std::unique_ptr<CallerExchange>> m_endedExchanges;
     ListenerCounts m_counts;
+    size_t m_heldBytes = 0; // of streamed answers
     bool m_draining = false;
 };
 
--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -8,7 +8,7 @@
 namespace appletally::node {
 
 // Answers up to this size are buffered until complete, so that a caller never receives the beginning of one that breaks.
-// Larger ones are streamed; if one breaks, the caller's connection is reset.
+// Larger ones are streamed; one that breaks after its head was sent ends the caller's connection.
 constexpr int64_t maxBufferedAnswerBytes = 256 * 1024;
 
 // Retry-After in ms when there is no configuration or no upstream. A node that has just started usually has both within
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -162,6 +162,11 @@
     count("appletally_caller_refusals_total", "reason=\"too_large\"", in.tooLarge);
     count("appletally_caller_refusals_total", "reason=\"too_slow\"", in.tooSlow);
     count("appletally_caller_refusals_total", "reason=\"too_many_connections\"", in.rejected);
+    count("appletally_caller_broken_answers_total", "end=\"taken_back\"", in.takenBack);
+    count("appletally_caller_broken_answers_total", "end=\"aborted\"", in.abortedAnswers);
+    count("appletally_caller_answers_lost_behind_broken_total", "", in.lostBehindAborted);
+    count("appletally_caller_answers_sent_unprotected_total", "", in.sentUnprotected);
+    count("appletally_caller_held_bytes", "", m_listener.heldBytes());
     std::map<std::string, size_t> states;
     for (const auto& [host, it] : m_endpoints)
         ++states[config::stateName(it.state)];
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -106,6 +106,8 @@
     void onEnd(ActiveRequest&, Attempt&, const CallEnd&);
     void onDrained(ActiveRequest&);
     void startStream(ActiveRequest&, Attempt&, evbuffer*);
+    bool takeBackStream(ActiveRequest&, const base::Error&);
+    void abortStream(ActiveRequest&, const base::Error&);
     void sendCredit(Attempt&);
     void onCompleteAnswer(ActiveRequest&, Attempt&);
     void recordRefusal(ActiveRequest&, const base::Error&);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -70,6 +70,24 @@
         sendCredit(attempt);
 }
 
+// True: the caller has received nothing of the streamed answer, and the request goes on as if it had not been streamed.
+bool Ingress::takeBackStream(ActiveRequest& it, const base::Error& error)
+{
+    if (!it.exchange->takeBack())
+        return false;
+    it.streaming = false;
+    base::logRequest(base::Event::AnswerTakenBack, it.name, { { "route", it.route->name.text }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount } });
+    return true;
+}
+
+void Ingress::abortStream(ActiveRequest& it, const base::Error& error)
+{
+    ++m_counts.unknown;
+    base::logRequest(base::Event::AnswerAborted, it.name, { { "route", it.route->name.text }, { "code", static_cast<int64_t>(error.code) }, { "why", error.text }, { "tries", it.attemptCount } });
+    it.exchange->abort();
+    removeRequest(it);
+}
+
 void Ingress::sendCredit(Attempt& attempt)
 {
     if (attempt.uncreditedBytes == 0)
@@ -240,11 +258,8 @@
 void Ingress::onFailedAttempt(ActiveRequest& it, const base::Error& error)
 {
     event_del(it.hedgeTimer);
-    if (it.streaming) {
-        ++m_counts.unknown;
-        it.exchange->abort();
-        return removeRequest(it);
-    }
+    if (it.streaming && !takeBackStream(it, error))
+        return abortStream(it, error);
     recordRefusal(it, error);
     const policy::RetryDecision decision = decideRetry(it, error);
     if (decision.retry)
@@ -291,11 +306,14 @@
         open.push_back(id);
     for (const uint64_t id : open) {
         ActiveRequest* it = find(id);
-        if (!it || it->streaming || !it->exchange)
+        if (!it || !it->exchange)
             continue;
         const bool mayHaveRun = it->mayHaveRun || !it->activeAttempts.empty();
+        const base::Error error = mayHaveRun ? base::fail(Code::OutcomeUnknown, "this node stopped before the answer arrived") : base::fail(Code::Draining, "this node is stopping");
+        if (it->streaming && !takeBackStream(*it, error))
+            continue;
         cancelAll(*it);
-        failRequest(*it, mayHaveRun ? base::fail(Code::OutcomeUnknown, "this node stopped before the answer arrived") : base::fail(Code::Draining, "this node is stopping"));
+        failRequest(*it, error);
     }
 }
 
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -368,12 +368,10 @@
     }
     const bool sent = !it.activeAttempts.empty() || it.awaitingSharedRun;
     cancelAll(it);
-    if (it.streaming) {
-        ++m_counts.unknown;
-        it.exchange->abort();
-        return removeRequest(it);
-    }
-    failRequest(it, sent ? base::fail(Code::DeadlinePassed, "no answer before the deadline") : base::fail(Code::DeadlineTooNear, "no time left for an attempt"));
+    const base::Error error = sent ? base::fail(Code::DeadlinePassed, "no answer before the deadline") : base::fail(Code::DeadlineTooNear, "no time left for an attempt");
+    if (it.streaming && !takeBackStream(it, error))
+        return abortStream(it, error);
+    failRequest(it, error);
 }
 
 void Ingress::onCallerGone(ActiveRequest& it)
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -22,18 +22,6 @@
     return base::Json::parse(std::get<inner::DumpAnswered>(node.toControl.back()).json);
 }
 
-// Runs the loop for this long.
-void runFor(TestMesh& mesh, base::Duration time)
-{
-    bool over = false;
-    event* timer = evtimer_new(
-        mesh.loop(), [](evutil_socket_t, short, void* arg) { *static_cast<bool*>(arg) = true; }, &over);
-    const timeval wait = base::toTimeval(time);
-    event_add(timer, &wait);
-    REQUIRE(mesh.run([&] { return over; }));
-    event_free(timer);
-}
-
 struct Edge {
     TestMesh mesh;
     std::unique_ptr<TestUpstream> upstream = std::make_unique<TestUpstream>(mesh.loop());
@@ -387,7 +375,7 @@
     const int before = longTransits();
     nodes.relay.setPaused(true);
     const auto answer = nodes.mesh.ask(nodes.ingress, "GET", "/archive/1");
-    runFor(nodes.mesh, { 400 });
+    nodes.mesh.runFor({ 400 });
     nodes.relay.setPaused(false);
     REQUIRE(nodes.mesh.run([&] { return answer->done; }));
     CHECK(longTransits() == before + 1);
@@ -438,7 +426,7 @@
 
     nodes.relay.setPaused(true);
     const auto answer = mesh.ask(nodes.ingress, "GET", "/archive/1", { "Request-Tag: late" });
-    runFor(mesh, { 1400 }); // longer than a link counts as fresh
+    mesh.runFor({ 1400 }); // longer than a link counts as fresh
     CHECK_FALSE(answer->done);
     nodes.relay.setPaused(false);
     REQUIRE(mesh.run([&] { return answer->done; }));
@@ -460,9 +448,9 @@
     REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
     const std::string request = "GET /archive/1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     REQUIRE(::write(fd, request.data(), request.size()) == static_cast<ssize_t>(request.size()));
-    runFor(edge.mesh, { 1600 }); // the caller reads nothing
+    edge.mesh.runFor({ 1600 }); // the caller reads nothing
     REQUIRE(::write(fd, "G", 1) == 1); // a closed connection would be reset by this
-    runFor(edge.mesh, { 50 });
+    edge.mesh.runFor({ 50 });
 
     evutil_make_socket_nonblocking(fd);
     size_t got = 0;
@@ -473,7 +461,7 @@
         while ((count = ::read(fd, bytes, sizeof bytes)) > 0)
             got += static_cast<size_t>(count);
         ended = count == 0;
-        runFor(edge.mesh, { 1 });
+        edge.mesh.runFor({ 1 });
     }
     ::close(fd);
     CHECK(ended);
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -1,6 +1,7 @@
 // All sockets are on loopback with ports assigned by the system; everything runs in one event loop.
 #include "node_fixture.h"
 
+#include "appletally/base/loop_time.h"
 #include "appletally/config/generate.h"
 
 #include <algorithm>
@@ -81,10 +82,10 @@
 {
     const char* tag = evhttp_find_header(evhttp_request_get_input_headers(request), "Request-Tag");
     const std::string body = bodyBytes ? std::string(bodyBytes, 'x') : std::string(tag ? tag : "none");
-    if (truncatesAnswers) {
+    if (truncatesAnswers || stallsAnswers)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Length", std::to_string(body.size() + 100).c_str());
+    if (truncatesAnswers)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
-    }
     for (const auto& [name, value] : headers)
         evhttp_add_header(evhttp_request_get_output_headers(request), name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
@@ -273,6 +274,20 @@
     return answer;
 }
 
+void TestMesh::sendMore(const std::string& bytes) { bufferevent_write(m_raw.back(), bytes.data(), bytes.size()); }
+
+void TestMesh::runFor(base::Duration time)
+{
+    bool over = false;
+    event* timer = evtimer_new(
+        m_loop, [](evutil_socket_t, short, void* arg) { *static_cast<bool*>(arg) = true; }, &over);
+    const timeval wait = base::toTimeval(time);
+    event_add(timer, &wait);
+    while (!over)
+        event_base_loop(m_loop, EVLOOP_ONCE);
+    event_free(timer);
+}
+
 bool TestMesh::run(const std::function<bool()>& done)
 {
     bool late = false;
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -32,6 +32,7 @@
     appletally::base::Duration delay; // of each answer that is not held
     int status = 200;
     bool truncatesAnswers = false; // announces a longer body than it sends, then closes the connection
+    bool stallsAnswers = false; // announces a longer body than it sends, and keeps the connection
     std::map<std::string, std::string> headers; // further fields of each answer
     size_t bodyBytes = 0; // 0: the body repeats the request's Request-Tag
 
@@ -81,9 +82,11 @@
         const std::vector<std::string>& headers = {}, const std::string& body = "");
     // Sends raw bytes and collects the answer until the peer closes the connection.
     std::shared_ptr<TestAnswer> askRaw(const appletally::base::Address&, const std::string& bytes);
+    void sendMore(const std::string& bytes); // on the connection of the last askRaw()
 
     // Runs the loop until `done` returns true. Returns false after five seconds, on which tests fail.
     bool run(const std::function<bool()>& done);
+    void runFor(appletally::base::Duration);
     event_base* loop() { return m_loop; }
     std::map<std::string, std::unique_ptr<TestNode>>& nodes() { return m_nodes; }
     appletally::http::ListenerLimits limits;
