A roll-out that ends with its service is recorded in full, and its record decodes

Cause: the end of such a roll-out was recorded with its id only.

Why this fix works: the record now has the roll-out as it was, which also tells an operator what was stopped.

--- a/src/appletally/base/json_reader.cpp
+++ b/src/appletally/base/json_reader.cpp
@@ -103,7 +103,7 @@
     return index < readMaskBits ? (m_read >> index & 1) != 0 : m_readOverflow.contains(index);
 }
 
-std::string JsonReader::text(const std::string& key, size_t maxBytes)
+std::string JsonReader::textOrEmpty(const std::string& key, size_t maxBytes)
 {
     const JsonValue* it = find(key);
     if (!it) {
@@ -114,11 +114,19 @@
         refuse(Code::SettingsWrongType, key, expectedString(maxBytes));
         return {};
     }
-    if (it->GetStringLength() == 0 || it->GetStringLength() > maxBytes)
+    if (it->GetStringLength() > maxBytes)
         refuse(Code::SettingsOutOfRange, key, expectedString(maxBytes));
     return textOf(*it);
 }
 
+std::string JsonReader::text(const std::string& key, size_t maxBytes)
+{
+    std::string out = textOrEmpty(key, maxBytes);
+    if (out.empty())
+        refuse(Code::SettingsOutOfRange, key, expectedString(maxBytes)); // an earlier error is kept
+    return out;
+}
+
 std::string JsonReader::text(const std::string& key, const std::string& fallback, size_t maxBytes)
 {
     return has(key) ? text(key, maxBytes) : fallback;
--- a/src/appletally/base/json_reader.h
+++ b/src/appletally/base/json_reader.h
@@ -35,6 +35,7 @@
 
     bool has(const std::string& key) const;
     std::string text(const std::string& key, size_t maxBytes = 4096); // required, not empty
+    std::string textOrEmpty(const std::string& key, size_t maxBytes = 4096); // required, may be empty
     std::string text(const std::string& key, const std::string& fallback, size_t maxBytes = 4096);
     int64_t integer(const std::string& key, int64_t minValue, int64_t maxValue); // required
     int64_t integer(const std::string& key, int64_t minValue, int64_t maxValue, int64_t fallback);
--- a/src/appletally/config/apply_document.cpp
+++ b/src/appletally/config/apply_document.cpp
@@ -57,15 +57,13 @@
     }
 
     // Rollouts of services that a document removes have no traffic to move any more.
-    void recordOrphanedRollouts(State& state, const Outcome& out, const std::vector<base::RolloutId>& ids, base::WallTime at)
+    void recordOrphanedRollouts(State& state, const Outcome& out, const std::vector<Rollout>& orphaned, base::WallTime at)
     {
-        for (const base::RolloutId& id : ids) {
-            const RunningRollout& run = state.running.at(id);
-            Rollout ended;
-            ended.id = id;
-            state.ended.push_back({ ended, RolloutEnd::Stopped, "document", "its service was taken out", run.startedIn, out.version, run.startedAt, at });
+        for (const Rollout& it : orphaned) {
+            const RunningRollout& run = state.running.at(it.id);
+            state.ended.push_back({ it, RolloutEnd::Stopped, documentAuthor, "its service was taken out", run.startedIn, out.version, run.startedAt, at });
             trimHistory(state.ended, maxRolloutRecords);
-            state.running.erase(id);
+            state.running.erase(it.id);
         }
     }
 
@@ -86,15 +84,15 @@
     if (!replaceParts(owned.routes, candidate.snapshot.routes, command.change.removedRoutes, routes) || !replaceParts(owned.services, candidate.snapshot.services, command.change.removedServices, services))
         return refuse(state, Code::AnswersInvalid, "a name of the document belongs to a team's answers");
     candidate.snapshot.callerLimits = command.change.limits;
-    std::vector<base::RolloutId> orphaned;
+    std::vector<Rollout> orphaned;
     for (const auto& [id, rollout] : state.snapshot.rollouts) {
         if (!candidate.snapshot.services.contains(rollout.service))
-            orphaned.push_back(id);
+            orphaned.push_back(rollout);
     }
-    for (const base::RolloutId& id : orphaned)
-        candidate.snapshot.rollouts.erase(id);
+    for (const Rollout& it : orphaned)
+        candidate.snapshot.rollouts.erase(it.id);
     dropTrafficOfRemovedServices(candidate);
-    Outcome out = commit(state, std::move(candidate), { index, command.at, "document", "document " + std::to_string(command.id.number.value) });
+    Outcome out = commit(state, std::move(candidate), { index, command.at, documentAuthor, "document " + std::to_string(command.id.number.value) });
     if (out.code != Code::Ok)
         return out;
     recordOrphanedRollouts(state, out, orphaned, command.at);
--- a/src/appletally/config/apply_rollout.cpp
+++ b/src/appletally/config/apply_rollout.cpp
@@ -145,6 +145,9 @@
     return endRollout(state, index, command.rollout, { RolloutEnd::Completed, controlAuthor, command.reason, command.at });
 }
 
+// The service was taken out and put in again since: a request for the same version is a new one.
+static bool endedWithItsService(const RolloutRecord& it) { return it.end == RolloutEnd::Stopped && it.by == documentAuthor; }
+
 // A rollout to the same version that is running, or ended so recently that its request may still be resent.
 static const base::RolloutId* findSameMove(const State& state, const MoveTraffic& command)
 {
@@ -154,7 +157,7 @@
     }
     constexpr base::Duration maxResendDelay { 10'000 }; // requests with lost answers are resent for a few seconds
     for (auto it = state.ended.rbegin(); it != state.ended.rend(); ++it) {
-        if (it->rollout.service == command.service)
+        if (it->rollout.service == command.service && !endedWithItsService(*it))
             return it->rollout.to == command.to && command.at - it->startedAt < command.within + maxResendDelay ? &it->rollout.id : nullptr;
     }
     return nullptr;
--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -20,6 +20,7 @@
     const std::vector<std::string> priorities = { "command", "lookup", "read", "archive" };
     const std::vector<std::string> goals = { "speed-and-take-back", "completion-and-bytes" };
     constexpr int64_t maxInt = INT32_MAX;
+    constexpr size_t maxRolloutIdBytes = 8192; // the name of a service and a log index
 
     base::PerMille readPerMille(JsonReader& it, const std::string& key) { return { static_cast<int32_t>(it.integer(key, 0, 1000)) }; }
 
@@ -266,12 +267,22 @@
 }
 
 Rollout readRollout(JsonReader it)
+{
+    Rollout out = readEndedRollout(it);
+    it.text("service");
+    it.text("from");
+    it.text("to");
+    return out;
+}
+
+// Version 0.1.0 of this program recorded a rollout that ended with its service by its id only.
+Rollout readEndedRollout(JsonReader it)
 {
     Rollout out;
-    out.id.text = it.text("id");
-    out.service.text = it.text("service");
-    out.from.text = it.text("from");
-    out.to.text = it.text("to");
+    out.id.text = it.text("id", maxRolloutIdBytes);
+    out.service.text = it.textOrEmpty("service");
+    out.from.text = it.textOrEmpty("from");
+    out.to.text = it.textOrEmpty("to");
     out.share = readPerMille(it, "share");
     out.maxTrialShare = readPerMille(it, "trial");
     out.completeBy.ms = it.integer("complete_by", INT64_MIN, INT64_MAX);
--- a/src/appletally/config/codec.h
+++ b/src/appletally/config/codec.h
@@ -41,6 +41,7 @@
 Service readService(base::JsonReader);
 Route readRoute(base::JsonReader);
 Rollout readRollout(base::JsonReader);
+Rollout readEndedRollout(base::JsonReader); // of the history: service and versions may be empty
 KeeperSet readKeeperSet(base::JsonReader);
 ControlTiming readControlTiming(base::JsonReader);
 CallerLimits readCallerLimits(base::JsonReader);
--- a/src/appletally/config/state_change.h
+++ b/src/appletally/config/state_change.h
@@ -9,6 +9,7 @@
 namespace appletally::config {
 
 inline const char* const controlAuthor = "control"; // of changes that no operator ordered
+inline const char* const documentAuthor = "document"; // of changes by a whole document
 inline const char* const unnamedOperator = "operator"; // an operator that does not number its requests
 
 // The parts of the state that a command may change.
--- a/src/appletally/config/state_codec.cpp
+++ b/src/appletally/config/state_codec.cpp
@@ -120,10 +120,10 @@
     RolloutRecord readEnded(JsonReader& it)
     {
         RolloutRecord out;
-        out.rollout = readRollout(it.object("rollout"));
+        out.rollout = readEndedRollout(it.object("rollout"));
         out.end = static_cast<RolloutEnd>(it.integer("end", 0, static_cast<int64_t>(RolloutEnd::Stopped)));
-        out.by = it.text("by");
-        out.reason = it.text("why", "", maxTextBytes);
+        out.by = it.text("by", maxStateBytes);
+        out.reason = it.text("why", "", maxStateBytes);
         out.startedIn.value = readNumber(it, "started_in");
         out.endedIn.value = readNumber(it, "ended_in");
         out.startedAt = readTime(it, "started_at");
