Stopping a roll-out of a document's service no longer ends every control process

What operators would see: an operator with numbered requests (appletallyctl rollout stop) stops a roll-out that the platform's operator has started. Each control process ends when it applies the entry, and again after each restart, since the entry is in the log.

Cause: the handler marks the service's team as changed; a service of a document has no team.

--- a/src/appletally/config/apply_rollout.cpp
+++ b/src/appletally/config/apply_rollout.cpp
@@ -100,8 +100,9 @@
         return *refused;
     const base::ServiceName service = state.snapshot.rollouts.at(command.rollout).service;
     Outcome out = endRollout(state, index, command.rollout, { RolloutEnd::Stopped, command.request.by.text, command.reason, command.request.at });
-    if (out.code == Code::Ok)
-        markChanged(*teamOf(state, service), command.request, out.version);
+    TeamRecord* team = teamOf(state, service); // none: the service belongs to a document
+    if (out.code == Code::Ok && team)
+        markChanged(*team, command.request, out.version);
     return out;
 }
 
--- a/tests/state_codec_test.cpp
+++ b/tests/state_codec_test.cpp
@@ -92,3 +92,14 @@
     CHECK(again.rollout.text == "berthview-5");
     CHECK(state.snapshot.rollouts.contains(again.rollout));
 }
+
+// Guards against an order that ends every control process, again after each restart: a numbered operator stops a roll-out of
+// a document's service, which has no team.
+TEST_CASE("an operator with numbered requests stops a roll-out of a document's service", "[config][state-codec]")
+{
+    State state;
+    REQUIRE(submit(state, 1, documentWith({ "berthview" })).code == Code::Ok);
+    REQUIRE(apply(state, { 2 }, MoveTraffic { { "berthview" }, { "v1" }, { "v2" }, { 16'000 }, { 2 } }).code == Code::Ok);
+    CHECK(apply(state, { 3 }, StopRollout { { { "ada" }, { 1 }, { 2 }, { 3 } }, { "berthview-2" }, "asked" }).code == Code::Ok);
+    CHECK(state.snapshot.rollouts.empty());
+}
