Every state that was accepted decodes: no text in it has a lower limit than the command that made it

Found by going over the limits of the decoding: a key of a document above 4,096 bytes, the id of a roll-out whose service has a name of almost that length, and its line in the history. All are accepted as commands.

The limits of single texts are gone; the size of the whole state is bounded as before.

--- a/src/appletally/config/state_codec.cpp
+++ b/src/appletally/config/state_codec.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-    // For 1 MB of answers for each of a few teams, the outcomes and the history.
+    // For 1 MB of answers for each of a few teams, the outcomes and the history. No text in it has a lower limit: a state
+    // that was accepted and encoded must decode.
     constexpr size_t maxStateBytes = 64 * 1024 * 1024;
-    constexpr size_t maxTextBytes = 64 * 1024;
 
     uint64_t readNumber(JsonReader& it, const std::string& key) { return static_cast<uint64_t>(it.integer(key, 0, INT64_MAX)); }
     base::WallTime readTime(JsonReader& it, const std::string& key) { return { it.integer(key, INT64_MIN, INT64_MAX) }; }
@@ -34,10 +34,10 @@
     TeamRecord readTeam(JsonReader& it, base::ReadProblem& problem)
     {
         TeamRecord out;
-        const std::string name = it.text("name");
+        const std::string name = it.text("name", maxStateBytes);
         out.bytes = it.text("bytes", maxAnswersBytes);
         out.changedAt.value = readNumber(it, "changed_at");
-        out.changedBy.text = it.text("changed_by");
+        out.changedBy.text = it.text("changed_by", maxStateBytes);
         out.changedNumber.value = readNumber(it, "changed_number");
         it.finish();
         auto answers = parseAnswers(out.bytes, name);
@@ -65,9 +65,9 @@
         out.hash = high << 32 | static_cast<uint64_t>(it.integer("hash_low", 0, UINT32_MAX));
         out.outcome.code = static_cast<base::Code>(it.integer("code", 0, UINT16_MAX));
         out.outcome.version.value = readNumber(it, "version");
-        out.outcome.text = it.text("text", "", maxTextBytes);
-        out.outcome.rollout.text = it.text("rollout", "");
-        out.outcome.winner.text = it.text("winner", "");
+        out.outcome.text = it.text("text", "", maxStateBytes);
+        out.outcome.rollout.text = it.text("rollout", "", maxStateBytes);
+        out.outcome.winner.text = it.text("winner", "", maxStateBytes);
         return out;
     }
 
@@ -102,8 +102,8 @@
         VersionRecord out;
         out.version.value = readNumber(it, "version");
         out.at = readTime(it, "at");
-        out.by = it.text("by");
-        out.summary = it.text("what");
+        out.by = it.text("by", maxStateBytes);
+        out.summary = it.text("what", maxStateBytes);
         out.differences = it.texts("differences");
         it.finish();
         return out;
@@ -143,7 +143,7 @@
         RunningRollout out;
         out.startedIn.value = readNumber(it, "started_in");
         out.startedAt = readTime(it, "started_at");
-        out.startedBy.text = it.text("started_by");
+        out.startedBy.text = it.text("started_by", maxStateBytes);
         out.shareSetAt = it.has("shared_at") ? readTime(it, "shared_at") : out.startedAt;
         return out;
     }
@@ -220,7 +220,7 @@
     {
         std::map<Name, std::string> out;
         for (JsonReader& it : top.objects(key)) {
-            const Name name { it.text("name") };
+            const Name name { it.text("name", maxStateBytes) };
             out[name] = it.text("text", maxStateBytes);
             it.finish();
         }
@@ -236,7 +236,7 @@
         out.texts.routes = readTexts<base::RouteName>(top, "routes");
         out.texts.services = readTexts<base::ServiceName>(top, "services");
         for (JsonReader& it : top.objects("others")) {
-            const std::string name = it.text("name");
+            const std::string name = it.text("name", maxStateBytes);
             out.texts.others[name] = it.text("text", maxStateBytes);
             it.finish();
         }
@@ -254,19 +254,19 @@
             out.teams[name] = std::move(team);
         }
         for (JsonReader& it : top.objects("traffic")) {
-            const base::ServiceName service { it.text("service") };
-            out.traffic[service] = { it.text("version", "") };
+            const base::ServiceName service { it.text("service", maxStateBytes) };
+            out.traffic[service] = { it.text("version", "", maxStateBytes) };
             if (it.has("before"))
-                out.previousTraffic[service] = { it.text("before") };
+                out.previousTraffic[service] = { it.text("before", maxStateBytes) };
             it.finish();
         }
         for (JsonReader& it : top.objects("running")) {
-            const base::RolloutId id { it.text("id") };
+            const base::RolloutId id { it.text("id", maxStateBytes) };
             out.running[id] = readRunning(it);
             it.finish();
         }
         for (JsonReader& it : top.objects("operators")) {
-            const base::OperatorId by { it.text("by") };
+            const base::OperatorId by { it.text("by", maxStateBytes) };
             out.operators[by] = readOperator(it);
             it.finish();
         }
@@ -311,7 +311,7 @@
     JsonReader top(json.value(), "state", problem);
     State out;
     out.applied.value = readNumber(top, "applied");
-    auto snapshot = decodeSnapshot(top.text("snapshot", maxSnapshotBytes));
+    auto snapshot = decodeSnapshot(top.text("snapshot", maxStateBytes));
     readParts(top, out, problem);
     top.finish();
     if (problem.first)
--- a/tests/state_codec_test.cpp
+++ b/tests/state_codec_test.cpp
@@ -1,5 +1,7 @@
 // The encoded state of the replicated log: whatever was accepted must decode, since it is all that a restarted control
 // process has.
+#include "config_fuzz_step.h"
+
 #include "appletally/config/codec.h"
 #include "appletally/config/state_machine.h"
 
@@ -51,6 +53,106 @@
     return state;
 }
 
+// Every kind of command over few names, so that changes meet: documents take services out under roll-outs, orders repeat.
+struct CommandsModel {
+    static constexpr int kinds = 12;
+    static const char* kindName(int kind)
+    {
+        static const char* const names[] = { "answers", "start", "stop", "share", "rollBack", "complete", "setKeepers", "finishKeepers", "document", "move", "evacuate", "setEvacuated" };
+        return names[kind];
+    }
+    uint64_t index = 0;
+    void advance(const fuzz::Step&) { ++index; }
+};
+
+struct CommandsSut {
+    State state;
+    uint64_t index = 0;
+
+    static std::string serviceName(int n)
+    {
+        return n % 4 == 3 ? std::string(4090, 's') : "s" + std::to_string(n % 4);
+    }
+
+    OperatorRequest request(const fuzz::Step& it) const
+    {
+        return { { it.a % 2 ? "ada" : "bob" }, { static_cast<uint64_t>(it.b % 20 + 1) }, state.snapshot.version, { static_cast<int64_t>(index) } };
+    }
+
+    base::RolloutId rollout(const fuzz::Step& it) const
+    {
+        return state.snapshot.rollouts.empty() ? base::RolloutId { "none-1" } : std::next(state.snapshot.rollouts.begin(), it.c % static_cast<int>(state.snapshot.rollouts.size()))->first;
+    }
+
+    base::PerMille shareOf(const base::RolloutId& id) const
+    {
+        const auto it = state.snapshot.rollouts.find(id);
+        return it == state.snapshot.rollouts.end() ? base::PerMille {} : it->second.share;
+    }
+
+    Document document(const fuzz::Step& it) const
+    {
+        std::vector<std::string> services;
+        for (int n = 0; n < 4; ++n) {
+            if (it.a >> n & 1)
+                services.push_back(serviceName(n));
+        }
+        Document out = documentWith(services);
+        if (it.b % 2)
+            out.others[std::string(it.b % 3 ? 1 : 5000, 'k')] = "{}";
+        out.limits.body.count = static_cast<uint64_t>(it.d);
+        return out;
+    }
+
+    Command command(const fuzz::Step& it) const
+    {
+        const base::WallTime at { static_cast<int64_t>(index) };
+        const std::string reason(static_cast<size_t>(it.d % 2) * 1000 + 1, 'r');
+        const base::RolloutId id = rollout(it);
+        const std::string team = std::to_string(it.c % 2);
+        switch (it.kind) {
+        case 0:
+            return SubmitAnswers { request(it), R"({"name":"t)" + team + R"(","weighing":"speed-and-take-back","services":[{"name":"team-s)" + team + R"(","first_version":"1","slots":)" + std::to_string(it.d % 9 + 1) + R"(,"routes":[{"name":"team-r)" + team + R"(","method":"GET","path_prefix":"/t)" + team + "\"}]}]}" };
+        case 1:
+            return StartRollout { request(it), { "team-s" + team }, {}, { std::to_string(it.d % 4 + 1) }, { 1'000'000 } };
+        case 2:
+            return StopRollout { request(it), id, reason };
+        case 3:
+            return SetShare { id, shareOf(id), { it.d % 1001 }, reason, at };
+        case 4:
+            return RollBackRollout { id, shareOf(id), reason, at };
+        case 5:
+            return CompleteRollout { id, shareOf(id), reason, at };
+        case 6:
+            return SetKeepers { state.snapshot.keepers.number, { { { "k" + std::to_string(it.a % 3) }, { "127.0.0.1", 9 } } }, at };
+        case 7:
+            return FinishKeeperChange { state.snapshot.keepers.number, at };
+        case 8:
+            return SubmitDocument { { { index }, state.document.current.number, "digest" }, changeFrom(state.document.texts, document(it)), at };
+        case 9:
+            return MoveTraffic { { serviceName(it.a) }, { "v" + std::to_string(it.b % 3) }, { "v" + std::to_string(it.d % 3) }, { 1000 }, at };
+        case 10:
+            return EvacuateZone { request(it), { "z" + std::to_string(it.a % 3) }, it.d % 2 == 0 };
+        default:
+            return SetZoneEvacuated { { "z" + std::to_string(it.a % 3) }, it.d % 2 == 0, at };
+        }
+    }
+
+    void perform(const CommandsModel&, const fuzz::Step& step)
+    {
+        ++index;
+        apply(state, { index }, encode(command(step)));
+        const std::string bytes = encode(state);
+        const auto decoded = decodeState(bytes);
+        if (!decoded)
+            RC_LOG() << decoded.error().text << std::endl;
+        RC_ASSERT(bool(decoded));
+        RC_ASSERT(encode(decoded.value()) == bytes);
+        RC_ASSERT(decoded.value().ended == state.ended);
+        RC_ASSERT(decoded.value().snapshot == state.snapshot);
+    }
+};
+
 } // namespace
 
 // Guards against a record that cannot be read back and takes the whole snapshot with it: after a restart the acknowledged
@@ -103,3 +205,23 @@
     CHECK(apply(state, { 3 }, StopRollout { { { "ada" }, { 1 }, { 2 }, { 3 } }, { "berthview-2" }, "asked" }).code == Code::Ok);
     CHECK(state.snapshot.rollouts.empty());
 }
+
+// Guards against limits of the decoding below those of what is accepted: a document's key of 5,000 bytes, and the id of a
+// roll-out, which is longer than its service's name.
+TEST_CASE("a state with long names decodes", "[config][state-codec]")
+{
+    const std::string longName(4090, 's');
+    State state;
+    Document document = documentWith({ longName });
+    document.others = { { std::string(5000, 'k'), "1" } };
+    REQUIRE(submit(state, 1, document).code == Code::Ok);
+    CHECK(decodeState(encode(state)));
+    REQUIRE(apply(state, { 1'000'000 }, MoveTraffic { { longName }, { "v1" }, { "v2" }, { 16'000 }, { 2 } }).code == Code::Ok);
+    CHECK(decodeState(encode(state)));
+}
+
+// Guards against any other accepted value that the encoding takes and the decoding refuses.
+TEST_CASE("the state decodes to itself after every command", "[config][state-codec][fuzz]")
+{
+    CHECK(rc::check([] { fuzz::checkSteps<CommandsModel, CommandsSut>(); }));
+}
