--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -30,6 +30,8 @@
     { Event::ReplicaRemoved, "replica-removed", "a replica was removed", "none", 0 },
     { Event::SnapshotTaken, "snapshot-taken", "the log was compacted to a snapshot", "none", 0 },
     { Event::DiskReopened, "disk-opened-again", "a failed data folder is readable again, and its replica restarts from the data in it", "none", 0 },
+    { Event::StateUnreadable, "state-unreadable", "a snapshot of the log cannot be decoded, on this disk or from the leader; this voter stopped and keeps its disk as it was", "see OPERATING, a snapshot that cannot be decoded", 2 },
+    { Event::SnapshotRefused, "snapshot-refused", "the state does not decode after encoding; the log keeps its entries, and grows until it does", "report it before any control process is restarted", 2 },
     { Event::UpstreamAnnounced, "upstream-announced", "an upstream announced itself", "none", 0 },
     { Event::UpstreamLeft, "upstream-left", "an upstream drained or its announcement expired", "none", 0 },
     { Event::LinkUp, "link-up", "a link to another process was established", "none", 0 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -36,6 +36,8 @@
     ReplicaRemoved = 307,
     SnapshotTaken = 308,
     DiskReopened = 309,
+    StateUnreadable = 310,
+    SnapshotRefused = 311,
 
     // 4xx: endpoints and links
     UpstreamAnnounced = 401,
--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -40,6 +40,7 @@
     { "appletally_log_leads", MetricKind::Gauge, "1: this replica is the leader" },
     { "appletally_log_members", MetricKind::Gauge, "members of the replicated log, by role" },
     { "appletally_log_losses_left", MetricKind::Gauge, "voters that may still be lost before changes stop; only on the leader" },
+    { "appletally_log_stopped", MetricKind::Gauge, "1: this replica takes no part in the log, because its disk failed or a snapshot could not be decoded" },
     { "appletally_log_index", MetricKind::Gauge, "log index, by stage reached on this replica" },
     { "appletally_control_links", MetricKind::Gauge, "established links to other control processes" },
     { "appletally_nodes", MetricKind::Gauge, "reachable nodes, by whether they have applied the newest version" },
--- a/src/appletally/control/metrics.cpp
+++ b/src/appletally/control/metrics.cpp
@@ -59,6 +59,7 @@
             const size_t responding = consensus::respondingVoters(replica, base::steadyNow()).size();
             add("appletally_log_losses_left", "", responding > majority ? responding - majority : 0);
         }
+        add("appletally_log_stopped", "", m_replica->stopped() ? 1 : 0);
         add("appletally_log_index", "what=\"applied\"", replica.applied.value);
         add("appletally_log_index", "what=\"committed\"", replica.commit.value);
         add("appletally_log_index", "what=\"released\"", replica.released.value);
--- a/src/appletally/control/process.cpp
+++ b/src/appletally/control/process.cpp
@@ -139,9 +139,14 @@
     const consensus::Snapshot snapshot = disk.snapshot;
     ReplicaHooks hooks;
     hooks.send = [this](const consensus::Message& it) { send(it); };
-    hooks.restore = [this](const consensus::Snapshot& it) { restore(it); };
+    hooks.restore = [this](const consensus::Snapshot& it) { return restore(it); };
     hooks.apply = [this](const consensus::Entry& it) { apply(it); };
-    hooks.state = [this] { return config::encode(m_state); };
+    hooks.state = [this]() -> base::Result<std::string> {
+        std::string out = config::encode(m_state);
+        if (const auto decoded = config::decodeState(out); !decoded)
+            return base::fail(decoded.error().code, "the state does not decode, so that the log keeps its entries: " + decoded.error().text);
+        return out;
+    };
     hooks.released = [this](base::LogIndex it) { onReleased(it); };
     hooks.leads = [this](bool leads) {
         m_leading = leads;
@@ -203,20 +208,19 @@
     }
 }
 
-void ControlProcess::restore(const consensus::Snapshot& snapshot)
+base::Result<void> ControlProcess::restore(const consensus::Snapshot& snapshot)
 {
     if (!snapshot.data)
-        return;
+        return base::success();
     auto state = config::decodeState(*snapshot.data);
-    if (!state) { // its checksum matches: it was written by an incompatible version of this program
-        base::logEvent(base::Event::LogFileDamaged, "cannot decode the state of the snapshot: " + state.error().text);
-        return;
-    }
+    if (!state) // its checksum matches: it was written by another version of this program
+        return base::fail(state.error().code, "the snapshot up to log index " + std::to_string(snapshot.meta.index.value) + " cannot be decoded: " + state.error().text);
     m_state = std::move(state.value());
     m_state.snapshot.sum = { config::contentHash(m_state.snapshot), true };
     m_appliedIndex = snapshot.meta.index;
     recordVersion();
     onReleased({});
+    return base::success();
 }
 
 void ControlProcess::apply(const consensus::Entry& entry)
--- a/src/appletally/control/process.h
+++ b/src/appletally/control/process.h
@@ -87,7 +87,7 @@
 
     // Replica hooks
     void send(const consensus::Message&);
-    void restore(const consensus::Snapshot&);
+    base::Result<void> restore(const consensus::Snapshot&);
     void apply(const consensus::Entry&);
     void applyChange(const consensus::Entry&);
     void copyUnreleased(); // copies a snapshot that may still be released, before the state changes
--- a/src/appletally/control/replica_driver.cpp
+++ b/src/appletally/control/replica_driver.cpp
@@ -120,7 +120,8 @@
 void ReplicaDriver::stepOnce(consensus::Input input)
 {
     consensus::Ready ready = consensus::step(m_replica, std::move(input), base::steadyNow(), inner::randomNumber());
-    handleOutput(ready);
+    if (!handleOutput(ready))
+        return;
     if (ready.persist)
         persist(*ready.persist);
     const base::LogIndex released = consensus::releasedIndex(m_replica);
@@ -131,15 +132,19 @@
     maybeSnapshot();
 }
 
-void ReplicaDriver::handleOutput(consensus::Ready& ready)
+bool ReplicaDriver::handleOutput(consensus::Ready& ready)
 {
-    for (const consensus::Message& it : ready.messages)
-        m_hooks.send(it);
     if (ready.restore) {
         m_snapshotIndex = ready.restore->meta.index;
         m_bytesSinceSnapshot = 0;
-        m_hooks.restore(*ready.restore);
+        if (const auto restored = m_hooks.restore(*ready.restore); !restored) {
+            base::logEvent(base::Event::StateUnreadable, restored.error().text);
+            stop(restored.error());
+            return false;
+        }
     }
+    for (const consensus::Message& it : ready.messages)
+        m_hooks.send(it);
     for (const consensus::Entry& it : ready.committed) {
         const base::StallTimer timer(m_stalls, base::StallCause::Apply);
         m_bytesSinceSnapshot += it.data.size();
@@ -165,6 +170,7 @@
             text += it.host.text + (it.role == consensus::Role::Voter ? " " : "(not voting) ");
         base::logEvent(base::Event::ReplicaAdded, "members now: " + text);
     }
+    return true;
 }
 
 void ReplicaDriver::answer(uint64_t id, const base::Result<base::LogIndex>& result)
@@ -187,8 +193,13 @@
         m_inputs.push_front(consensus::Persisted { persist.sequence });
         return;
     }
-    m_failure = written.error();
     base::logEvent(base::Event::DiskStopped, written.error().text);
+    stop(written.error());
+}
+
+void ReplicaDriver::stop(base::Error why)
+{
+    m_failure = std::move(why);
     for (auto& [id, it] : m_answers)
         it->fulfill(base::Result<base::LogIndex>(*m_failure));
     m_answers.clear();
@@ -201,11 +212,16 @@
     const bool due = entries >= entriesPerSnapshot || m_bytesSinceSnapshot >= bytesPerSnapshot;
     if (m_failure || (!idle && !due))
         return;
-    m_snapshotIndex = m_replica.applied;
+    m_snapshotIndex = m_replica.applied; // also after an error: the next attempt follows after as many entries
     m_bytesSinceSnapshot = 0;
-    base::logEvent(base::Event::SnapshotTaken, "up to log index " + std::to_string(m_snapshotIndex.value));
     const base::StallTimer timer(m_stalls, base::StallCause::Snapshot);
-    m_inputs.push_back(consensus::SnapshotTaken { m_snapshotIndex, std::make_shared<const std::string>(m_hooks.state()) });
+    auto state = m_hooks.state();
+    if (!state) {
+        base::logEvent(base::Event::SnapshotRefused, state.error().text);
+        return;
+    }
+    base::logEvent(base::Event::SnapshotTaken, "up to log index " + std::to_string(m_snapshotIndex.value));
+    m_inputs.push_back(consensus::SnapshotTaken { m_snapshotIndex, std::make_shared<const std::string>(std::move(state.value())) });
 }
 
 nlohmann::json ReplicaDriver::toJson() const
--- a/src/appletally/control/replica_driver.h
+++ b/src/appletally/control/replica_driver.h
@@ -2,6 +2,10 @@
 //
 // The disk is written and synced in the loop, before any message that depends on it is sent. A failed write or sync stops
 // the replica permanently (DiskStopped): the other replicas see it as silent and continue without it.
+//
+// So does a snapshot that cannot be decoded (StateUnreadable), before it is written: an empty or outdated state must not
+// vote, lead or answer reads as if it were the whole one, and the log on this disk stays as it was. Entries are removed from
+// the log only for a snapshot that has been decoded.
 #pragma once
 
 #include "appletally/base/loop_stalls.h"
@@ -20,9 +24,9 @@
 // Called in the event loop, in log order.
 struct ReplicaHooks {
     std::function<void(const consensus::Message&)> send; // may drop it
-    std::function<void(const consensus::Snapshot&)> restore; // replaces the state by that of the snapshot
+    std::function<base::Result<void>(const consensus::Snapshot&)> restore; // replaces the state by that of the snapshot
     std::function<void(const consensus::Entry&)> apply; // committed; called once per index
-    std::function<std::string()> state; // encoded state after all applied entries
+    std::function<base::Result<std::string>()> state; // encoded state after all applied entries; an error if it does not decode
     std::function<void(base::LogIndex)> released; // increases monotonically
     std::function<void(bool)> leads;
 };
@@ -44,6 +48,7 @@
 
     const consensus::Replica& replica() const { return m_replica; }
     bool stopped() const { return m_failure.has_value(); }
+    const std::optional<base::Error>& failure() const { return m_failure; } // set once stopped
     void closeDisk() { consensus::closeFolder(m_disk); } // only after a disk failure, so that the folder can be reopened
     const base::LoopStalls& stalls() const { return m_stalls; }
     nlohmann::json toJson() const;
@@ -55,7 +60,8 @@
     kj::Promise<void> ticks();
     void processInput(consensus::Input);
     void stepOnce(consensus::Input);
-    void handleOutput(consensus::Ready&);
+    bool handleOutput(consensus::Ready&); // false: the replica has stopped
+    void stop(base::Error);
     void answer(uint64_t id, const base::Result<base::LogIndex>&);
     void persist(const consensus::Persist&);
     void maybeSnapshot();
--- a/tests/state_codec_test.cpp
+++ b/tests/state_codec_test.cpp
@@ -1,11 +1,15 @@
 // The encoded state of the replicated log: whatever was accepted must decode, since it is all that a restarted control
 // process has.
 #include "config_fuzz_step.h"
+#include "control_fixture.h"
 
 #include "appletally/config/codec.h"
 #include "appletally/config/state_machine.h"
 
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
 
 using namespace appletally;
 using namespace appletally::config;
@@ -153,6 +157,42 @@
     }
 };
 
+// The folder of a lone voter that has a configuration at log index 1 and this snapshot at index 2.
+consensus::DiskLog diskWithSnapshot(const std::string& folder, std::string data)
+{
+    const consensus::FileCalls calls = consensus::systemFileCalls();
+    const std::vector<consensus::Member> members { { { 9 }, { "c" }, consensus::Role::Voter, {} } };
+    REQUIRE(consensus::formatFolder(calls, folder, { { 9 }, { "c" }, members }));
+    auto disk = consensus::openFolder(calls, folder).value();
+    consensus::Persist write;
+    write.snapshot = std::make_shared<const consensus::Snapshot>(consensus::Snapshot { { { 2 }, { 1 }, { { 1 }, members } }, std::make_shared<const std::string>(std::move(data)) });
+    write.retainFrom = { 3 };
+    write.state.term = { 1 };
+    write.state.commit = { 2 };
+    write.stateChanged = true;
+    REQUIRE(consensus::write(disk, write));
+    consensus::closeFolder(disk);
+    return consensus::openFolder(calls, folder).value();
+}
+
+std::map<std::string, std::string> filesOf(const std::string& folder)
+{
+    std::map<std::string, std::string> out;
+    for (const auto& it : std::filesystem::recursive_directory_iterator(folder)) {
+        if (!it.is_regular_file())
+            continue;
+        std::ifstream in(it.path(), std::ios::binary);
+        std::stringstream bytes;
+        bytes << in.rdbuf();
+        out[it.path()] = bytes.str();
+    }
+    return out;
+}
+
+control::ControlSettings loneVoter() { return control_test::TestControl::settings({}); }
+
+void runFor(kj::AsyncIoContext& io, base::Duration time) { io.provider->getTimer().afterDelay(time.ms * kj::MILLISECONDS).wait(io.waitScope); }
+
 } // namespace
 
 // Guards against a record that cannot be read back and takes the whole snapshot with it: after a restart the acknowledged
@@ -225,3 +265,56 @@
 {
     CHECK(rc::check([] { fuzz::checkSteps<CommandsModel, CommandsSut>(); }));
 }
+
+// Guards against a control process that votes, leads and answers with an empty state because it cannot read its own.
+TEST_CASE("a voter whose snapshot cannot be decoded neither leads nor answers, and keeps its disk", "[control][state-codec]")
+{
+    auto io = kj::setupAsyncIo();
+    const process_test::Folder folder;
+    auto disk = diskWithSnapshot(folder / "data", "written by another version");
+    const auto before = filesOf(folder / "data");
+    control::ControlProcess process(io, loneVoter(), std::move(disk));
+    runFor(io, { 1500 }); // several election timeouts
+    CHECK_FALSE(process.leads());
+    CHECK_FALSE(process.committedState().wait(io.waitScope));
+    CHECK(process.metrics().find("appletally_log_stopped 1") != std::string::npos);
+    CHECK(filesOf(folder / "data") == before);
+}
+
+// Guards against the loss of the log's entries for a snapshot from which they cannot be restored.
+TEST_CASE("the log keeps its entries while the state does not decode", "[control][state-codec]")
+{
+    auto io = kj::setupAsyncIo();
+    const process_test::Folder folder;
+    const consensus::FileCalls calls = consensus::systemFileCalls();
+    REQUIRE(consensus::formatFolder(calls, folder / "data", { { 9 }, { "c" }, { { { 9 }, { "c" }, consensus::Role::Voter, {} } } }));
+    int attempts = 0;
+    bool decodes = false;
+    {
+        control::ReplicaHooks hooks;
+        hooks.send = [](const consensus::Message&) {};
+        hooks.restore = [](const consensus::Snapshot&) -> base::Result<void> { return base::success(); };
+        hooks.apply = [](const consensus::Entry&) {};
+        hooks.state = [&]() -> base::Result<std::string> {
+            ++attempts;
+            return decodes ? base::Result<std::string>("state") : base::fail(Code::MessageMalformed, "does not decode");
+        };
+        hooks.released = [](base::LogIndex) {};
+        hooks.leads = [](bool) {};
+        control::ReplicaDriver driver(io.provider->getTimer(), consensus::openFolder(calls, folder / "data").value(), {}, std::move(hooks));
+        driver.start();
+        const auto propose = [&] {
+            runFor(io, { 1000 });
+            for (int n = 0; n < 12; ++n)
+                CHECK(driver.propose("entry").wait(io.waitScope));
+            runFor(io, { 1000 });
+        };
+        propose();
+        CHECK(attempts == 1);
+        CHECK(driver.replica().snapshot->meta.index.value == 0);
+        decodes = true;
+        propose();
+        CHECK(driver.replica().snapshot->meta.index.value > 12);
+        driver.closeDisk();
+    }
+}
