A planned stop no longer drops pipelined requests that were passed on

What callers saw: a node is stopped as planned while callers send further idempotent requests before the first is answered.

Cause: "Connection: close" was decided when an answer was made, if its request was the last one at that moment. The answer leaves only after those in front of it; until then the caller cannot know, and its further requests were read, started, and dropped once the answer had been written.

Change: the close is decided when a head leaves, and only if nothing behind it was started; from then on nothing more is read or started. Once the node accepts no more connections it starts nothing behind others, so that a caller that sends on and on cannot keep its connection. The same cause on the paths beside it: nothing is started behind a request with the caller's own "Connection: close", or behind one of HTTP/1.0, whose answer may end the connection; requests that wait behind these count as not read.

--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -62,7 +62,7 @@
     return listener.m_heldBytes < listener.m_limits.maxHeldBytes ? 0 : evbuffer_get_length(m_heldOutput);
 }
 
-bool CallerExchange::mayEndConnection() const { return m_streaming; }
+bool CallerExchange::mayEndConnection() const { return m_streaming || m_isHttp10 || !m_callerKeepsAlive; }
 
 void CallerExchange::hold(evbuffer* buf)
 {
@@ -82,22 +82,15 @@
 
 void CallerExchange::writeHead(int status, const std::vector<HeaderField>& headers, int64_t length)
 {
-    CallerConnection& connection = *m_connection;
-    const bool last = connection.queue.back().get() == this && !connection.reader.inMessage;
-    m_closesConnection = !m_callerKeepsAlive || (last && (connection.listener.m_draining || connection.closing != Closing::No)) || (m_isHttp10 && length < 0);
-    std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    m_head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const HeaderField& it : headers)
-        out += it.name + ": " + it.value + "\r\n";
+        m_head += it.name + ": " + it.value + "\r\n";
     m_chunked = length < 0 && !m_isHttp10;
     m_endsWithConnection = length < 0 && m_isHttp10;
     if (m_chunked)
-        out += "Transfer-Encoding: chunked\r\n";
+        m_head += "Transfer-Encoding: chunked\r\n";
     else if (length >= 0)
-        out += "Content-Length: " + std::to_string(length) + "\r\n";
-    if (m_closesConnection)
-        out += "Connection: close\r\n";
-    out += "\r\n";
-    evbuffer_add(m_heldOutput, out.data(), out.size());
+        m_head += "Content-Length: " + std::to_string(length) + "\r\n";
 }
 
 void CallerExchange::reply(int status, const std::vector<HeaderField>& headers, const std::string& body)
@@ -142,6 +135,7 @@
 {
     if (m_headSent)
         return false;
+    m_head.clear();
     evbuffer_drain(m_heldOutput, evbuffer_get_length(m_heldOutput));
     releaseHeld();
     m_streaming = false;
@@ -249,6 +243,8 @@
         resetReader(reader);
         ++listener.m_counts.requests;
         queue.push_back(std::move(incoming));
+        if (!queue.back()->m_callerKeepsAlive)
+            closing = Closing::AfterAnswers;
         startQueued();
         return true;
     case ReadStep::Malformed:
@@ -331,7 +327,7 @@
             return;
         if (it.m_started)
             continue;
-        if (n > 0 && !listener.m_hooks.mayOverlap(it.m_request))
+        if (n > 0 && (listener.m_acceptingStopped || !listener.m_hooks.mayOverlap(it.m_request)))
             return; // nor may the requests after it start: they may depend on it
         it.m_started = true;
         listener.m_hooks.onRequest(it); // may answer immediately, which shortens the queue
@@ -378,22 +374,46 @@
     return front.m_streaming && !front.m_headSent && runningBehindFront() > 0;
 }
 
-void CallerConnection::writeFront()
+bool CallerConnection::mustCloseAfter(const CallerExchange& front) const
 {
-    CallerExchange& it = *queue.front();
-    if (evbuffer_get_length(it.m_heldOutput) == 0)
-        return;
-    if (mustHoldBack(it)) {
-        if (listener.m_heldBytes < listener.m_limits.maxHeldBytes)
-            return;
-        ++listener.m_counts.sentUnprotected;
+    if (!front.m_callerKeepsAlive || front.m_endsWithConnection)
+        return true;
+    const bool receivesNext = reader.inMessage && queue.size() == 1;
+    return listener.m_draining && runningBehindFront() == 0 && !receivesNext;
+}
+
+void CallerConnection::sendHead(CallerExchange& it)
+{
+    it.m_closesConnection = mustCloseAfter(it);
+    if (it.m_closesConnection) {
+        it.m_head += "Connection: close\r\n";
+        closing = Closing::AfterAnswers;
     }
+    it.m_head += "\r\n";
+    evbuffer_add(bufferevent_get_output(buffers), it.m_head.data(), it.m_head.size());
+    it.m_head.clear();
     it.m_headSent = true;
     it.releaseHeld();
+}
+
+void CallerConnection::writeFront()
+{
+    CallerExchange& it = *queue.front();
+    if (!it.m_headSent) {
+        if (it.m_head.empty())
+            return; // not answered yet
+        if (mustHoldBack(it)) {
+            if (listener.m_heldBytes < listener.m_limits.maxHeldBytes)
+                return;
+            ++listener.m_counts.sentUnprotected;
+        }
+        sendHead(it);
+    }
     evbuffer_add_buffer(bufferevent_get_output(buffers), it.m_heldOutput);
 }
 
-// Requests after the last answer count as not read; the caller resends them on another connection.
+// Requests after the last answer count as not read; the caller resends them on another connection. None of them was started,
+// unless the answer broke.
 void CallerConnection::closeAfterAnswers()
 {
     closing = Closing::AfterAnswers;
--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -32,6 +32,8 @@
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
     void onNewFront();
+    bool mustCloseAfter(const CallerExchange& front) const;
+    void sendHead(CallerExchange& front);
     void writeFront(); // writes the held output of the exchange at the front, unless it must be held back further
     bool mustHoldBack(const CallerExchange& front) const;
     size_t runningBehindFront() const; // requests that lose their answers if the connection ends with the front answer
--- a/src/appletally/http/caller_listener.cpp
+++ b/src/appletally/http/caller_listener.cpp
@@ -82,6 +82,7 @@
 
 void CallerListener::stopAccepting()
 {
+    m_acceptingStopped = true;
     if (m_listener)
         evconnlistener_free(m_listener);
     m_listener = nullptr;
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -8,6 +8,10 @@
 // Callers may pipeline requests. Requests run concurrently where that is safe; their answers wait for the answers before
 // them. The connection is read throughout, which is how a disconnect is detected while a request runs.
 //
+// A request that was started gets its answer, whatever becomes of the others on its connection. "Connection: close" is
+// therefore decided when a head is sent, and only if nothing behind it was started; from then on nothing more is read or
+// started. Requests behind it count as not read, and callers send them again.
+//
 // An answer that breaks after its head was sent ends the connection, and all answers behind it are lost. So nothing is
 // started behind a streamed answer, and one that already has running requests behind it is held back until it is complete,
 // as far as `maxHeldBytes` allows. A held answer that breaks is taken back, and its request is retried or answered with a
@@ -100,7 +104,8 @@
 
     CallerRequest m_request;
     CallerConnection* m_connection = nullptr;
-    evbuffer* m_heldOutput = nullptr; // answer bytes held back, see CallerConnection::writeFront()
+    std::string m_head; // until it is sent; without "Connection" and the empty line, see CallerConnection::sendHead()
+    evbuffer* m_heldOutput = nullptr; // body bytes held back, see CallerConnection::writeFront()
     size_t m_heldBytes = 0; // counted in CallerListener::m_heldBytes
     bool m_callerKeepsAlive = true; // the caller keeps the connection open after this request
     bool m_isHttp10 = false; // HTTP/1.0: no chunked encoding
@@ -109,7 +114,7 @@
     bool m_endsWithConnection = false; // neither a length nor chunks: the end of the connection marks the end of the answer
     bool m_streaming = false; // startStream() was called, and the answer is not complete
     bool m_headSent = false; // the answer can no longer be taken back
-    bool m_closesConnection = false; // the answer has "Connection: close"
+    bool m_closesConnection = false; // the answer was sent with "Connection: close"
     bool m_answered = false;
 };
 
@@ -133,8 +138,8 @@
 
     base::Result<base::Address> listen(const base::Address&); // with port 0 the system chooses
     void setLimits(const ListenerLimits&); // applies to new requests; maxConnections to new connections
-    void setDraining(bool); // answers then close their connections
-    void stopAccepting();
+    void setDraining(bool); // an answer with nothing started behind it then closes its connection
+    void stopAccepting(); // of connections, and of requests behind others on their connections
     void closeIdle(); // closes connections without a request, after pending data on their sockets has been read
     bool allConnectionsClosed() const { return m_connections.empty(); } // all answers are written: the process may end without truncating one
     const ListenerLimits& limits() const { return m_limits; }
@@ -162,6 +167,7 @@
     ListenerCounts m_counts;
     size_t m_heldBytes = 0; // of streamed answers
     bool m_draining = false;
+    bool m_acceptingStopped = false;
 };
 
 // JSON body of an error answer produced by this process.
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -1,6 +1,7 @@
 // The callers' listener in isolation: request framing, order of answers, and detection of disconnects.
 #include "appletally/http/caller_listener.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
@@ -254,6 +255,107 @@
     CHECK(caller.has("Connection: close"));
 }
 
+// Guards against "Connection: close" decided while the answer is still held back: the caller cannot know of it, sends further
+// requests, and they were started and then dropped.
+TEST_CASE("a request that is started behind held answers during a graceful shutdown gets its answer", "[listener]")
+{
+    ListenerFixture fixture;
+    Caller caller(fixture);
+    caller.send(get("/1") + get("/2"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() == 2; }));
+    fixture.listener->setDraining(true);
+    fixture.answer("/2");
+    caller.send(get("/3"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() == 2; }));
+    fixture.answer("/1");
+    REQUIRE(fixture.run([&] { return caller.has("answer to /2"); }));
+    CHECK_FALSE(caller.has("Connection: close"));
+    CHECK(fixture.gone == 0);
+    fixture.answer("/3");
+    REQUIRE(fixture.run([&] { return caller.closed; }));
+    CHECK(caller.has("answer to /3"));
+    CHECK(caller.has("Connection: close"));
+}
+
+// Guards against a caller that sends on and on while answers are due, so that its connection never closes, and against dropping
+// what was started for it.
+TEST_CASE("a shutdown that accepts nothing more closes a connection behind its last started request", "[listener]")
+{
+    ListenerFixture fixture;
+    Caller caller(fixture);
+    caller.send(get("/1") + get("/2") + get("/3"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() == 3; }));
+    fixture.answer("/3");
+    fixture.listener->setDraining(true);
+    fixture.listener->stopAccepting();
+    fixture.answer("/1");
+    REQUIRE(fixture.run([&] { return caller.has("answer to /1"); }));
+    caller.send(get("/4"));
+    fixture.run([] { return false; }, { 50 });
+    fixture.answer("/2");
+    REQUIRE(fixture.run([&] { return caller.closed; }));
+    CHECK(caller.has("answer to /2"));
+    CHECK(caller.has("answer to /3"));
+    CHECK(caller.received.find("Connection: close") > caller.received.find("answer to /2"));
+    CHECK(fixture.targets.size() == 3);
+    CHECK(fixture.gone == 0);
+}
+
+// Guards against starting requests behind one whose answer closes the connection: the caller's own close, an answer to HTTP/1.0
+// without a length, and a streamed answer that has announced the close.
+TEST_CASE("nothing is started behind a request that ends its connection", "[listener]")
+{
+    ListenerFixture fixture;
+    Caller closing(fixture);
+    closing.send("GET /close HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + get("/behind"));
+    Caller old(fixture);
+    old.send("GET /old HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n" + get("/behind"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() >= 2; }));
+    fixture.run([] { return false; }, { 50 });
+    CHECK(fixture.targets.size() == 2);
+    fixture.answer("/close");
+    REQUIRE(fixture.run([&] { return closing.closed; }));
+    CHECK(closing.has("answer to /close"));
+
+    Caller streamed(fixture);
+    streamed.send(get("/stream"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.back()->request().target == "/stream"; }));
+    fixture.listener->setDraining(true);
+    http::CallerExchange* exchange = fixture.waiting.back();
+    fixture.waiting.pop_back();
+    exchange->onGone = nullptr;
+    exchange->startStream(200, {}, -1);
+    evbuffer* body = evbuffer_new();
+    evbuffer_add(body, "first", 5);
+    exchange->streamBody(body);
+    REQUIRE(fixture.run([&] { return streamed.has("Connection: close"); }));
+    streamed.send(get("/behind"));
+    fixture.run([] { return false; }, { 50 });
+    evbuffer_add(body, "last", 4);
+    exchange->streamBody(body);
+    evbuffer_free(body);
+    exchange->endStream();
+    REQUIRE(fixture.run([&] { return streamed.closed; }));
+    CHECK(streamed.has("last"));
+    CHECK(std::count(fixture.targets.begin(), fixture.targets.end(), "/behind") == 0);
+    CHECK(fixture.gone == 0);
+}
+
+// Guards against an invalid request that takes the answers of the requests in front of it along.
+TEST_CASE("the requests in front of an invalid one are answered first", "[listener]")
+{
+    ListenerFixture fixture;
+    Caller caller(fixture);
+    caller.send(get("/1") + get("/2") + "BREW /3 HTTP/1.1\r\nHost: a\r\n\r\n" + get("/4"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() == 2; }));
+    fixture.answer("/2");
+    fixture.answer("/1");
+    REQUIRE(fixture.run([&] { return caller.closed; }));
+    CHECK(caller.received.find("answer to /1") < caller.received.find("answer to /2"));
+    CHECK(caller.received.find("answer to /2") < caller.received.find("HTTP/1.1 400"));
+    CHECK(fixture.targets.size() == 2);
+}
+
 TEST_CASE("limits may change while callers are connected", "[listener]")
 {
     // Guards against open connections that keep the old limits after a new configuration lowers them.
