Bytes that are no answer end their connection after a bounded number, also where they have no end

Heads, header lines, noise, chunk extensions and trailers without end were closed at once already.

Change: in front of an answer at most 32 messages and 4 MB are skipped (interim responses, answers to other requests); above it, or with a body above 1 GiB, the call fails as after any other invalid answer and its connection is closed. A refusal's body, and an answer that nobody waits for, are read up to 256 KB; the refusal stays one. A body without end behind the head of an answer is ended by the deadline as before, with the memory flat: until then nothing tells it from a large download.

Two unit tests for answers to other requests, one of them for what must still be skipped.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -123,6 +123,8 @@
     reader.bodyless = it.m_request.method == "HEAD";
     headDelivered = false;
     skipping = false;
+    skippedMessages = 0;
+    skippedBytes = 0;
     if (!connected)
         return; // onEvent() sends it
     it.m_sent = true;
@@ -191,12 +193,18 @@
 bool UpstreamConnection::step()
 {
     evbuffer* body = evbuffer_new();
-    const ReadStep read = readNext(reader, bufferevent_get_input(buffers), body);
+    evbuffer* in = bufferevent_get_input(buffers);
+    const size_t before = evbuffer_get_length(in);
+    const ReadStep read = readNext(reader, in, body);
+    if (!headDelivered)
+        skippedBytes += before - evbuffer_get_length(in);
     if (read == ReadStep::Body && headDelivered && call->m_handler.body)
         call->m_handler.body(body);
     evbuffer_free(body);
     if (dropped || !call)
         return false; // cancelled by the handler
+    if (!checkLimits())
+        return false;
     switch (read) {
     case ReadStep::NeedMore:
         return false;
@@ -214,12 +222,26 @@
     }
 }
 
+bool UpstreamConnection::checkLimits()
+{
+    const ClientLimits& limits = client.m_limits;
+    const uint64_t bodyBytes = std::max(reader.bodyBytes, static_cast<uint64_t>(std::max<int64_t>(reader.head.length, 0)));
+    const bool skippedTooMuch = skippedBytes > limits.maxSkippedBytes || skippedMessages > limits.maxSkippedMessages;
+    const bool tooLarge = !skipping && bodyBytes > limits.maxAnswerBytes;
+    if (!skippedTooMuch && !tooLarge)
+        return true;
+    ++client.m_counts.endlessAnswers;
+    end(base::fail(headDelivered ? Code::AnswerTruncated : Code::InvalidUpstreamAnswer, tooLarge ? "the upstream's answer is larger than any allowed one" : "the upstream sends without end, but no answer to this request"));
+    return false;
+}
+
 // An answer with another id belongs to a cancelled request; the answer to the current one may follow. An answer without an
 // id could belong to either, so it is an error.
 void UpstreamConnection::onAnswerHead()
 {
     const UpstreamRequest& request = call->m_request;
     skipping = reader.head.status < 200; // interim response: the answer follows
+    skippedMessages += skipping ? 1 : 0;
     if (skipping)
         return;
     if (!request.id.empty()) {
@@ -228,6 +250,7 @@
             return end(base::fail(Code::InvalidUpstreamAnswer, "the upstream's answer does not repeat the request id"));
         if (*id != request.id) {
             ++client.m_counts.unsolicitedAnswers;
+            ++skippedMessages;
             skipping = sawUnsolicited = true;
             return;
         }
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -6,6 +6,9 @@
 // Faulty upstreams can send one caller's answer to another: an answer that arrives after its request was cancelled, a
 // second answer after the first, unsolicited bytes on an idle connection. So each answer must repeat the request's id if
 // the request has one, and a connection that received anything unexpected is not reused.
+//
+// They can also send without end. What is skipped before the answer, and the answer itself, are therefore limited; above the
+// limit the connection is closed and the call fails as after any other invalid answer.
 #pragma once
 
 #include "appletally/base/clock.h"
@@ -58,6 +61,9 @@
     base::Duration connectTimeout { 1000 }; // the upstream is on this host: if connecting takes longer, it is not running
     base::Duration maxIdleTimeUnused { 1000 }; // of a connection that has carried no request; the upstream has named no timeout
     size_t maxIdleConnections = 32; // an upstream runs fewer requests at once
+    size_t maxSkippedMessages = 32; // interim responses and answers to other requests in front of an answer; usual are one or two
+    uint64_t maxSkippedBytes = 4 * 1024 * 1024; // of these: a late answer may be a download
+    uint64_t maxAnswerBytes = 1024 * 1024 * 1024; // of a body: the largest that a questionnaire allows for a request
 };
 
 struct ClientCounts {
@@ -65,6 +71,7 @@
     uint64_t reused = 0;
     uint64_t unsolicitedAnswers = 0; // answers discarded because they have another request's id
     uint64_t unsolicitedBytes = 0; // connections closed because of unsolicited bytes
+    uint64_t endlessAnswers = 0; // connections closed because what they sent was above a limit
 };
 
 class UpstreamClient;
--- a/src/appletally/http/upstream_connection.h
+++ b/src/appletally/http/upstream_connection.h
@@ -20,6 +20,7 @@
     void onDialedIdle();
     void onDialedClosed(short what);
     bool step(); // false: wait for more bytes
+    bool checkLimits(); // false: the upstream has sent too much, and the call has ended
     void onAnswerHead();
     void onAnswerEnd();
     void onClosed(bool orderly);
@@ -37,6 +38,8 @@
     bool sawUnsolicited = false; // received an answer to another request; that to the current one is still expected
     bool skipping = false; // the current message belongs to another request or is an interim (1xx) response
     bool headDelivered = false; // the head of the matching answer was passed to the handler
+    size_t skippedMessages = 0; // of the current call
+    uint64_t skippedBytes = 0; // received for the current call before the end of the matching answer's head
     base::Time idleSince;
     base::Duration idleTimeout;
 };
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -119,6 +119,7 @@
     bool isLeaving(const Announcement&) const;
     void logUnreadable(const UpstreamNotices&);
     void onBody(ActiveCall&, evbuffer*);
+    void discardBody(ActiveCall&, evbuffer*);
     void onEnd(ActiveCall&, const http::AnswerEnd&);
     void onRunLost(ActiveCall&, const base::Error&); // the connection closed before the answer was complete
     void finishLostCalls();
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -31,6 +31,7 @@
     int64_t startedMicros = 0;
     int64_t ranMicros = 0;
     uint64_t unconsumedBytes = 0;
+    uint64_t discardedBytes = 0; // of a body that nobody reads
     std::optional<ClaimId> claim; // granted or requested; must be ended exactly once
     policy::ClaimOutcome outcome; // with a claim: the upstream's answer, recorded by the keepers
     bool upstreamBusy = false; // at least three quarters of the slots were in use when the run started
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -269,6 +269,8 @@
         onNotices(readNotices(head.headers, m_settings.dialect), mayLift);
 }
 
+constexpr uint64_t maxDiscardedBytes = 256 * 1024; // a new connection costs less than reading more
+
 void Owner::onBody(ActiveCall& it, evbuffer* buf)
 {
     const uint64_t n = evbuffer_get_length(buf);
@@ -279,16 +281,28 @@
         if (it.outcome.bodyKept)
             evbuffer_copyout(buf, it.outcome.body.data() + before, n);
     }
-    if (it.detached || it.notRunByUpstream || !it.handler.body) {
-        evbuffer_drain(buf, n);
-        return;
-    }
+    if (it.detached || it.notRunByUpstream || !it.handler.body)
+        return discardBody(it, buf);
     it.unconsumedBytes += n;
     if (it.unconsumedBytes > bodyWindowBytes)
         it.upstream->pause();
     it.handler.body(buf);
 }
 
+// The body of a refusal, or of an answer that nobody waits for. Its end frees the slot, but it may have none.
+void Owner::discardBody(ActiveCall& it, evbuffer* buf)
+{
+    it.discardedBytes += evbuffer_get_length(buf);
+    evbuffer_drain(buf, evbuffer_get_length(buf));
+    const bool isRecorded = it.claim && it.outcome.bodyKept;
+    if (it.discardedBytes <= maxDiscardedBytes || isRecorded)
+        return;
+    if (!it.notRunByUpstream)
+        return failRun(it, base::fail(Code::AnswerTruncated, "nobody waits for the rest of the upstream's answer"));
+    it.upstream->cancel();
+    onEnd(it, {});
+}
+
 void Owner::consumed(OwnerCallId id, uint64_t bytes)
 {
     ActiveCall* it = find(id);
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -30,6 +30,7 @@
     // waitTimeoutSeconds, with the output in the message.
     std::string waitLine(const std::vector<std::string>& parts);
     void signal(int number) const;
+    pid_t pid() const { return m_pid; }
     Finished finish(); // waits for the process to exit
 
 private:
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -143,6 +143,44 @@
     CHECK(client.counts().unsolicitedAnswers == 1);
 }
 
+// Guards against an answer of another request, or a series of them, that never ends: the request behind it waited until its
+// deadline, and its slot with it.
+TEST_CASE("a request fails when answers to others in front of it do not end", "[upstream-client]")
+{
+    const std::string body(64 * 1024, 'x');
+    const std::string starts[] = { "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 999999999\r\n\r\n", "" };
+    const std::string repeated[] = { body, answer("a", "") };
+    for (size_t n = 0; n < 2; ++n) {
+        ScriptedUpstream upstream;
+        http::UpstreamClient client(upstream.loop, upstream.address);
+        TestCall testCall(client, "b");
+        REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /b"); }));
+        upstream.sendBytes(0, starts[n]);
+        for (int sent = 0; sent < 100 && !testCall.end; ++sent) {
+            upstream.sendBytes(0, repeated[n]);
+            upstream.run([&] { return testCall.end.has_value(); }, { 5 });
+        }
+        CHECK(testCall.code() == base::Code::InvalidUpstreamAnswer);
+        CHECK(client.counts().endlessAnswers == 1);
+        CHECK(client.idleConnections() == 0);
+    }
+}
+
+// Guards against limits that an ordinary upstream meets: some interim responses, and one late download of another request.
+TEST_CASE("interim responses and a late large answer in front of an answer are skipped", "[upstream-client]")
+{
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    TestCall testCall(client, "b");
+    REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /b"); }));
+    for (int n = 0; n < 8; ++n)
+        upstream.sendBytes(0, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+    upstream.sendBytes(0, answer("a", std::string(2 * 1024 * 1024, 'x')) + answer("b", "right"));
+    REQUIRE(upstream.run([&] { return testCall.end.has_value(); }));
+    CHECK(testCall.succeeded());
+    CHECK(testCall.body == "right");
+}
+
 TEST_CASE("an answer without the request id is an error", "[upstream-client]")
 {
     ScriptedUpstream upstream;
