Answers that wait behind others share one bound of memory

A caller that pipelines reads behind a slow one could hold 32 answers of 256 KB, and a few such callers the node's memory, which ends it with all connections. Found by reading, no run showed it. All waiting answers count now; at the bound nothing more is started behind others.

The new listener test fails without the change: it needs the count.

--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -19,7 +19,7 @@
     { "appletally_caller_broken_answers_total", MetricKind::Counter, "large answers that broke, by end: `taken_back` before any of it was sent, `aborted` with the caller's connection" },
     { "appletally_caller_answers_lost_behind_broken_total", MetricKind::Counter, "running or answered requests that ended with a connection because a large answer in front of them broke" },
     { "appletally_caller_answers_sent_unprotected_total", MetricKind::Counter, "large answers sent before they were complete although requests behind them ran, for lack of memory to hold them" },
-    { "appletally_caller_held_bytes", MetricKind::Gauge, "bytes of large answers that wait for the answers in front of them or for their own end" },
+    { "appletally_caller_held_bytes", MetricKind::Gauge, "bytes of answers that wait for the answers in front of them, and of large ones that wait for their own end" },
     { "appletally_calls_total", MetricKind::Counter, "calls to the upstream beside this node, by outcome" },
     { "appletally_upstream_ends_total", MetricKind::Counter, "ends of the upstream's process while it ran requests" },
     { "appletally_suspect_requests", MetricKind::Gauge, "requests under which upstreams ended, as known here, by state: `suspected` ones run one at a time, `blocked` ones not at all" },
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -68,8 +68,12 @@
 {
     const size_t n = evbuffer_get_length(buf);
     evbuffer_add_buffer(m_heldOutput, buf);
-    if (!m_streaming || m_headSent)
-        return;
+    if (!m_headSent)
+        countHeld(n);
+}
+
+void CallerExchange::countHeld(size_t n)
+{
     m_heldBytes += n;
     m_connection->listener.m_heldBytes += n;
 }
@@ -96,8 +100,10 @@
 void CallerExchange::reply(int status, const std::vector<HeaderField>& headers, const std::string& body)
 {
     writeHead(status, headers, static_cast<int64_t>(body.size()));
-    if (m_request.method != "HEAD")
+    if (m_request.method != "HEAD") {
         evbuffer_add(m_heldOutput, body.data(), body.size());
+        countHeld(body.size());
+    }
     m_answered = true;
     m_connection->answered();
 }
@@ -327,7 +333,8 @@
             return;
         if (it.m_started)
             continue;
-        if (n > 0 && (listener.m_acceptingStopped || !listener.m_hooks.mayOverlap(it.m_request)))
+        const bool memoryIsShort = listener.m_heldBytes >= listener.m_limits.maxHeldBytes;
+        if (n > 0 && (listener.m_acceptingStopped || memoryIsShort || !listener.m_hooks.mayOverlap(it.m_request)))
             return; // nor may the requests after it start: they may depend on it
         it.m_started = true;
         listener.m_hooks.onRequest(it); // may answer immediately, which shortens the queue
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -39,7 +39,7 @@
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
-    size_t maxHeldBytes = 16 * 1024 * 1024; // of all streamed answers that are held back; above it they pause, or are sent unprotected
+    size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; above it nothing is started behind others, and streams pause or are sent unprotected
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
     base::Duration receiveTimeout { 10000 }; // from a request's first byte to its last
     base::Duration idleTimeout { 60000 }; // between requests
@@ -100,6 +100,7 @@
     bool mayEndConnection() const; // nothing may be started behind it
     void writeHead(int status, const std::vector<HeaderField>&, int64_t length);
     void hold(evbuffer*); // appends to the held output
+    void countHeld(size_t bytes);
     void releaseHeld(); // the held output is empty now
 
     CallerRequest m_request;
@@ -144,7 +145,7 @@
     bool allConnectionsClosed() const { return m_connections.empty(); } // all answers are written: the process may end without truncating one
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
-    size_t heldBytes() const { return m_heldBytes; } // of streamed answers that are held back
+    size_t heldBytes() const { return m_heldBytes; } // of answers that wait behind others
 
 private:
     friend struct CallerConnection;
@@ -165,7 +166,7 @@
     std::vector<std::unique_ptr<CallerConnection>> m_closedConnections; // deleted from the event loop
     std::vector<std::unique_ptr<CallerExchange>> m_endedExchanges;
     ListenerCounts m_counts;
-    size_t m_heldBytes = 0; // of streamed answers
+    size_t m_heldBytes = 0; // of all exchanges
     bool m_draining = false;
     bool m_acceptingStopped = false;
 };
--- a/tests/http_listener_test.cpp
+++ b/tests/http_listener_test.cpp
@@ -356,6 +356,25 @@
     CHECK(fixture.targets.size() == 2);
 }
 
+// Guards against answers that wait behind a slow one and take the memory of the node, which then ends with all its callers.
+TEST_CASE("nothing is started behind others while the waiting answers take all the memory for them", "[listener]")
+{
+    ListenerFixture fixture({ .maxHeldBytes = 20 });
+    Caller caller(fixture);
+    caller.send(get("/1") + get("/2") + get("/3"));
+    REQUIRE(fixture.run([&] { return fixture.waiting.size() == 3; }));
+    fixture.answer("/2");
+    fixture.answer("/3");
+    CHECK(fixture.listener->heldBytes() == 2 * std::string("answer to /2").size());
+    caller.send(get("/4"));
+    fixture.run([] { return false; }, { 50 });
+    CHECK(fixture.targets.size() == 3);
+    fixture.answer("/1");
+    REQUIRE(fixture.run([&] { return fixture.targets.size() == 4; }));
+    CHECK(fixture.listener->heldBytes() == 0);
+    CHECK(fixture.run([&] { return caller.has("answer to /3"); }));
+}
+
 TEST_CASE("limits may change while callers are connected", "[listener]")
 {
     // Guards against open connections that keep the old limits after a new configuration lowers them.
