Comments of the callers' listener; a lint finding

What happens at the bound of held answers stands in the head comment, and each new function says what it decides.

--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -31,12 +31,12 @@
     void reject(base::Code, const std::string& text); // answers with an error and closes
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
-    void onNewFront();
-    bool mustCloseAfter(const CallerExchange& front) const;
-    void sendHead(CallerExchange& front);
+    void onNewFront(); // the exchange at the front has changed; its answer may have begun already
     void writeFront(); // writes the held output of the exchange at the front, unless it must be held back further
+    void sendHead(CallerExchange& front); // decides whether this answer closes the connection
     bool mustHoldBack(const CallerExchange& front) const;
-    size_t runningBehindFront() const; // requests that lose their answers if the connection ends with the front answer
+    bool mustCloseAfter(const CallerExchange& front) const;
+    size_t runningBehindFront() const; // started requests that lose their answers if the connection ends with the front one
     void closeAfterAnswers();
     void startLinger();
     void drop(); // closes immediately and calls onGone of the running exchanges
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -13,9 +13,11 @@
 // started. Requests behind it count as not read, and callers send them again.
 //
 // An answer that breaks after its head was sent ends the connection, and all answers behind it are lost. So nothing is
-// started behind a streamed answer, and one that already has running requests behind it is held back until it is complete,
-// as far as `maxHeldBytes` allows. A held answer that breaks is taken back, and its request is retried or answered with a
-// failure.
+// started behind a streamed answer, and one that already has running requests behind it is held back until it is complete.
+// A held answer that breaks is taken back, and its request is retried or answered with a failure.
+//
+// All held answers together are limited to `maxHeldBytes`. Above it nothing is started behind others, held streams pause,
+// and a stream that is due is sent although requests run behind it (`sentUnprotected`).
 #pragma once
 
 #include "appletally/base/clock.h"
@@ -39,7 +41,7 @@
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
-    size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; above it nothing is started behind others, and streams pause or are sent unprotected
+    size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; see the head comment for what happens above it
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
     base::Duration receiveTimeout { 10000 }; // from a request's first byte to its last
     base::Duration idleTimeout { 60000 }; // between requests
--- a/tests/endless_answers_process_test.cpp
+++ b/tests/endless_answers_process_test.cpp
@@ -202,6 +202,7 @@
             std::atomic<int> answered = 0;
             std::atomic<int64_t> longest = 0;
             std::vector<std::thread> callers;
+            callers.reserve(callersAtOnce);
             for (int n = 0; n < callersAtOnce; ++n)
                 callers.emplace_back([&, n] {
                     const int64_t at = nowMs();
