--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <catch2/catch.hpp>
 #include <event2/bufferevent.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -283,8 +284,7 @@
         m_loop, [](evutil_socket_t, short, void* arg) { *static_cast<bool*>(arg) = true; }, &over);
     const timeval wait = base::toTimeval(time);
     event_add(timer, &wait);
-    while (!over)
-        event_base_loop(m_loop, EVLOOP_ONCE);
+    REQUIRE(run([&] { return over; }));
     event_free(timer);
 }
 
