review: the node that ends needs no client that leaves

Tried: the case as before, with the waiting requests at the node itself and no client that leaves. Seen: the node ends with SIGSEGV at the deadline of a waiting request. In one run of an AddressSanitizer build: heap-use-after-free in UpstreamCall::resume().

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A backend falls silent while calls wait for it, and comes back as a new process. Then some clients leave, and its node ends."""
+"""A backend falls silent while calls wait for it, and comes back as a new process. Its node ends at the deadline of such a call."""
 import asyncio
 
 from standins import TROUBLE, Backend, Connection, Mesh, main, own_answer, record, route
@@ -9,7 +9,6 @@
 DARK_S = 1.5
 CONTACT_S = 3
 BYSTANDERS = 6  # clients of the node with requests at another, sound backend
-MAX_LEAVING = 6  # of the 20 clients of a cycle
 MIN_CYCLES = 3
 LAST_CYCLE_MS = 80000
 MAX_CLOSED = 3  # by the rule
@@ -22,7 +21,7 @@
         mesh.start()
         await mesh.all_cores_answer()
         await mesh.configure(1, 0, {"r-urgent": route(HOST, "/urgent/", "non_idempotent", "ledger", 8000, 3000, 0),
-                                    "r-later": route(HOST, "/later/", "non_idempotent", "ledger", 15000, 6000, 3),
+                                    "r-later": route(HOST, "/later/", "non_idempotent", "ledger", 8000, 6000, 3),
                                     "r-warm": route(HOST, "/warm/", "idempotent", "ledger", 2000, 500, 2),
                                     "r-form": route(HOST, "/form/", "non_idempotent", "front", 8000, 4000, 1)}, ["front", "ledger"])
         for n, node in enumerate(mesh.nodes):
@@ -45,7 +44,7 @@
 
 
 async def incarnate(current, node, name):
-    work = {"/urgent/": RUN_S, "/later/": RUN_S, "/warm/": 0.01, "/form/": 2.5}
+    work = {"/urgent/": RUN_S, "/later/": RUN_S, "/warm/": 0.01, "/form/": 5.0}
     current[node] = Backend(node, node.service, name, slots=9 if node.service == "front" else SLOTS, work=lambda path: work["/%s/" % path.split("/")[1]])
     await current[node].start()
 
@@ -67,20 +66,18 @@
     if cycle == 0:
         await asyncio.sleep(4)  # longer than contact_ms since the last start: all machines are in touch
 
-    async def send(kind, n, connections):
+    async def send(kind, n):
         name = "%s-%d-%d" % (kind, cycle, n)
-        connection = connections[name] = await Connection(entry.outbound).open()
+        connection = await Connection((target if kind == "later" else entry).outbound).open()
         record("client sends", name)
-        status, headers, body = await connection.request("POST", HOST, "/%s/%d" % (kind, n), name, 8000 if kind == "urgent" else 15000, b"x" * 200)
+        status, headers, body = await connection.request("POST", HOST, "/%s/%d" % (kind, n), name, 8000, b"x" * 200)
         record("client has", name, status, "own answer" if own_answer(headers) else "backend's answer", body[:100])
-        answered.add(name)
         connection.close()
-    urgent, later, answered = {}, {}, set()
-    tasks = [asyncio.ensure_future(send("later", n, later)) for n in range(2 * SLOTS)]
+    tasks = [asyncio.ensure_future(send("later", n)) for n in range(2 * SLOTS)]
     await asyncio.sleep(0.05)
-    tasks += [asyncio.ensure_future(send("later", 2 * SLOTS + n, later)) for n in range(3 * SLOTS)]
+    tasks += [asyncio.ensure_future(send("later", 2 * SLOTS + n)) for n in range(3 * SLOTS)]
     await asyncio.sleep(0.2)
-    tasks += [asyncio.ensure_future(send("urgent", n, urgent)) for n in range(2 * SLOTS)]
+    tasks += [asyncio.ensure_future(send("urgent", n)) for n in range(2 * SLOTS)]
     await asyncio.sleep(RUN_S)  # the first ones have ended, and the urgent ones run
     if TROUBLE:
         current[target].go_dark()
@@ -89,11 +86,6 @@
         await asyncio.sleep(CONTACT_S + 0.2)  # the node is in touch again, if the silence counts as a reset of its connections
     closed = []
     bystanders = [asyncio.ensure_future(it) for it in await bystander_requests(mesh, current, target, cycle, closed)]
-    await asyncio.sleep(0.5)
-    waiting = [it for it in later if it not in answered][:MAX_LEAVING]
-    record("the clients leave of", *waiting)
-    for it in waiting:
-        later[it].close()
     await asyncio.wait(tasks, timeout=12)
     await asyncio.gather(*bystanders)
     await asyncio.sleep(0.5)
