--- a/review/7/standins.py
+++ b/review/7/standins.py
@@ -7,12 +7,14 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import tempfile
 import time
 import tomllib
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
@@ -481,6 +483,7 @@
             if it.process and it.process.poll() is None:
                 it.process.kill()
                 it.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def operator(self, method, path, headers=None, body=b"", seconds=15):
         """Resends until there is a clear answer, at any control process."""
@@ -553,6 +556,10 @@
         except asyncio.TimeoutError:
             record("cannot run: it took too long")
             return 2
+        except Exception as problem:  # of a stand-in; says nothing about the rule
+            record("cannot run:", repr(problem))
+            traceback.print_exc()
+            return 2
         for it in broken:
             record("BROKEN:", it)
             print("broken:", it)
