review: the dark backend is one of six

Tried: case 4 with six servers of the service, so that one of them is within the share that the site names, and two slots each. Seen: the node ends with SIGSEGV, six kept connections without an answer.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,6 +4,7 @@
 from standins import TROUBLE, Backend, Connection, Mesh, main, own_answer, record, route
 
 HOST = "desk.example"
+LEDGERS = 6  # one of them is a share of 0.167
 SLOTS = 2
 RUN_S = 0.8
 DARK_S = 1.5
@@ -15,7 +16,7 @@
 
 
 async def case():
-    mesh = Mesh(["front", "ledger", "ledger"])
+    mesh = Mesh(["front"] + ["ledger"] * LEDGERS)
     current = {}
     try:
         mesh.start()
@@ -44,25 +45,27 @@
 
 
 async def incarnate(current, node, name):
-    work = {"/urgent/": RUN_S, "/later/": RUN_S, "/warm/": 0.01, "/form/": 5.0}
+    work = {"/urgent/": RUN_S, "/later/": RUN_S, "/warm/": 0.03, "/form/": 5.0}
     current[node] = Backend(node, node.service, name, slots=9 if node.service == "front" else SLOTS, work=lambda path: work["/%s/" % path.split("/")[1]])
     await current[node].start()
 
 
 async def one_cycle(mesh, current, cycle):
     """What breaks the rule in this cycle."""
-    target = mesh.nodes[1 + cycle % 2]
+    target = mesh.nodes[1 + cycle % LEDGERS]
     entry = mesh.nodes[0]
     record("--- cycle", cycle, "at", target.name)
 
-    async def both_serve():
-        seen = len(current[mesh.nodes[1]].runs), len(current[mesh.nodes[2]].runs)
-        for n in range(6):
+    async def all_serve():
+        seen = {it: len(current[it].runs) for it in mesh.nodes[1:]}
+
+        async def one(n):
             connection = await Connection(entry.outbound).open()
             await connection.request("GET", HOST, "/warm/%d" % n, "warm-%d-%f" % (n, record.ms()), 1000)
             connection.close()
-        return len(current[mesh.nodes[1]].runs) > seen[0] and len(current[mesh.nodes[2]].runs) > seen[1]
-    await mesh.until("both backends serve", both_serve, 20)
+        await asyncio.gather(*[one(n) for n in range(2 * LEDGERS)])
+        return all(len(current[it].runs) > seen[it] for it in mesh.nodes[1:])
+    await mesh.until("all backends serve", all_serve, 20)
     if cycle == 0:
         await asyncio.sleep(4)  # longer than contact_ms since the last start: all machines are in touch
 
@@ -73,11 +76,11 @@
         status, headers, body = await connection.request("POST", HOST, "/%s/%d" % (kind, n), name, 8000, b"x" * 200)
         record("client has", name, status, "own answer" if own_answer(headers) else "backend's answer", body[:100])
         connection.close()
-    tasks = [asyncio.ensure_future(send("later", n)) for n in range(2 * SLOTS)]
+    tasks = [asyncio.ensure_future(send("later", n)) for n in range(LEDGERS * SLOTS)]
     await asyncio.sleep(0.05)
-    tasks += [asyncio.ensure_future(send("later", 2 * SLOTS + n)) for n in range(3 * SLOTS)]
+    tasks += [asyncio.ensure_future(send("later", LEDGERS * SLOTS + n)) for n in range(4 * LEDGERS * SLOTS)]
     await asyncio.sleep(0.2)
-    tasks += [asyncio.ensure_future(send("urgent", n)) for n in range(2 * SLOTS)]
+    tasks += [asyncio.ensure_future(send("urgent", n)) for n in range(LEDGERS * SLOTS)]
     await asyncio.sleep(RUN_S)  # the first ones have ended, and the urgent ones run
     if TROUBLE:
         current[target].go_dark()
