Owner: nothing starts on an upstream while it is replaced

Cause: announce() ended the runs of the previous process one by one; each end freed a slot, and admission started a waiting call at once, through the client of the process that was gone. The client was then replaced, and the started call kept a pointer to freed memory and a slot of the next process.

Change: admission is suspended while there is no upstream and while one is replaced, until the slots of the next one are known. Waiting calls then run there, or are refused as not run if it is of another service or version. A call holds its run by a weak pointer, so that a mistake in the order ends as an answer. A later start under the same id and address replaces the client too; an upstream whose announcement had expired and that goes on is no replacement.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -329,10 +329,10 @@
     event_free(m_deleteClosedEvent);
 }
 
-UpstreamCall* UpstreamClient::start(UpstreamRequest request, UpstreamHandler handler)
+std::weak_ptr<UpstreamCall> UpstreamClient::start(UpstreamRequest request, UpstreamHandler handler)
 {
-    m_calls.push_back(std::make_unique<UpstreamCall>());
-    UpstreamCall* it = m_calls.back().get();
+    const auto it = std::make_shared<UpstreamCall>();
+    m_calls.push_back(it);
     it->m_client = this;
     it->m_request = std::move(request);
     it->m_handler = std::move(handler);
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -102,8 +102,8 @@
     UpstreamClient(const UpstreamClient&) = delete;
     UpstreamClient& operator=(const UpstreamClient&) = delete;
 
-    // The pointer is valid until `end` is called or the call is cancelled. start() itself calls no callback.
-    UpstreamCall* start(UpstreamRequest, UpstreamHandler);
+    // The result expires after `end`, after cancel(), or with the client. start() itself calls no callback.
+    std::weak_ptr<UpstreamCall> start(UpstreamRequest, UpstreamHandler);
     // Connects: tells a process that ended from one that closed a single connection. `done` gets false if the connection is
     // refused. One that is accepted and stays open serves a later request.
     void checkListening(std::function<void(bool listening)> done);
@@ -132,8 +132,8 @@
     std::vector<std::unique_ptr<UpstreamConnection>> m_connections;
     std::vector<UpstreamConnection*> m_idle; // the most recently used is last
     std::vector<std::unique_ptr<UpstreamConnection>> m_closedConnections; // deleted from the event loop
-    std::vector<std::unique_ptr<UpstreamCall>> m_calls;
-    std::vector<std::unique_ptr<UpstreamCall>> m_endedCalls;
+    std::vector<std::shared_ptr<UpstreamCall>> m_calls;
+    std::vector<std::shared_ptr<UpstreamCall>> m_endedCalls;
 };
 
 } // namespace appletally::http
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -124,6 +124,7 @@
     base::logEvent(base::Event::UpstreamLeft, m_upstream->service.text + " " + m_upstream->version.text + ": " + why);
     m_upstream.reset();
     m_drainingSince.reset();
+    m_admission.suspended = true;
     policy::drain(m_admission, base::steadyNow());
     refuseQueued(base::fail(Code::NoUpstream, "the upstream is gone"));
     m_events.load(currentLoad());
@@ -147,28 +148,19 @@
 {
     const bool first = !m_upstream;
     const bool becameReady = announcement.state == EndpointState::Ready && (first || m_upstream->state != EndpointState::Ready || m_upstream->version != announcement.version);
-    const bool another = first || m_upstream->address != announcement.address || m_upstream->version != announcement.version || m_upstream->id != announcement.id;
-    const bool restarted = another || m_upstream->startedAtMs != announcement.startedAtMs;
-    const bool changed = restarted || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
+    const bool another = !isSameProcess(announcement);
+    const bool restarted = another || m_process->startedAtMs != announcement.startedAtMs;
+    const bool changed = first || restarted || m_upstream->state != announcement.state || m_upstream->slots != announcement.slots || m_upstream->service != announcement.service;
     m_announcedAt = base::steadyNow();
     if (restarted)
         onUpstreamEnded("another process announces itself");
     if (another) {
-        finishLostCalls();
-        // Another upstream process has taken over; calls that ran on the previous one will not be answered.
-        std::vector<OwnerCallId> left;
-        for (const auto& [id, it] : m_calls)
-            left.push_back(id);
-        for (const OwnerCallId id : left) {
-            if (ActiveCall* it = find(id))
-                failRun(*it, base::fail(Code::OutcomeUnknown, "the upstream was replaced"));
-        }
-        m_client = std::make_unique<http::UpstreamClient>(m_loop, announcement.address);
+        replaceClient(announcement);
         policy::upstreamStarted(m_admission, m_announcedAt + std::min(announcement.slowStartRemaining, policy::slowStart) - policy::slowStart);
         m_rate.reset();
         m_rateUntil.reset();
     }
-    m_upstream = announcement;
+    m_upstream = m_process = announcement;
     const config::Service* service = upstreamService();
     if (announcement.coldRemaining)
         policy::announceCold(m_coldStart, *announcement.coldRemaining, restarted, m_announcedAt);
@@ -183,6 +175,7 @@
         policy::onUpstreamReady(*localDecision(), m_announcedAt);
     if (!changed)
         return;
+    m_admission.suspended = false;
     if (announcement.state == EndpointState::Draining || m_leaving) {
         m_drainingSince = m_drainingSince.value_or(m_announcedAt);
         applyFollowup(policy::drain(m_admission, m_announcedAt));
@@ -197,6 +190,34 @@
     m_events.changed();
 }
 
+// One that was only removed, because its announcement expired, goes on with its runs.
+bool Owner::isSameProcess(const Announcement& it) const
+{
+    if (!m_process || m_process->address != it.address || m_process->version != it.version || m_process->id != it.id)
+        return false;
+    const bool bornKnown = m_process->startedAtMs != 0 && it.startedAtMs != 0;
+    return bornKnown ? m_process->startedAtMs == it.startedAtMs : m_upstream.has_value();
+}
+
+// Ending a run frees its slot. Nothing may start before the next process is in place: it would be sent to the process that
+// is gone.
+void Owner::replaceClient(const Announcement& next)
+{
+    m_admission.suspended = true;
+    finishLostCalls();
+    std::vector<OwnerCallId> all;
+    for (const auto& [id, it] : m_calls)
+        all.push_back(id);
+    for (const OwnerCallId id : all) {
+        if (ActiveCall* it = find(id))
+            failRun(*it, base::fail(Code::OutcomeUnknown, "the upstream was replaced"));
+    }
+    const bool takesWaiting = m_process && m_process->service == next.service && m_process->version == next.version;
+    if (!takesWaiting)
+        refuseQueued(base::fail(Code::NoUpstream, "an upstream of another service or version has taken its place"));
+    m_client = std::make_unique<http::UpstreamClient>(m_loop, next.address);
+}
+
 void Owner::drain()
 {
     if (m_draining)
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -126,6 +126,8 @@
     void expireLostRuns();
     void onUpstreamEnded(const std::string& sign); // under the runs that were lost last, if there are any
     void forgetLostRunsBefore(const ActiveCall& answered);
+    bool mayRunHere(const ActiveCall&) const; // once admitted
+    void cancelUpstream(ActiveCall&); // closes the connection of its run, if it has one
     void failRun(ActiveCall&, base::Error); // ends a run whose answer is broken or can no longer arrive in time
     void onTick();
     void setTick(bool busy); // short interval while there are calls, long otherwise
@@ -136,6 +138,8 @@
     void logCancelled(const ActiveCall&) const;
     void record(const ActiveCall&, policy::RunEnd);
     policy::LocalVersionMonitor* localDecision(); // on the upstream's version; null without an upstream
+    bool isSameProcess(const Announcement&) const; // as the one that m_client connects to
+    void replaceClient(const Announcement& next); // ends all runs of the previous upstream process; admission stays suspended
     void removeUpstream(const std::string& why);
     void refuseQueued(const base::Error&); // calls that wait for a slot
     http::UpstreamRequest requestFor(ActiveCall&, base::Duration left) const;
@@ -150,6 +154,7 @@
     event* m_tick = nullptr;
     std::shared_ptr<const config::Snapshot> m_snapshot;
     std::optional<Announcement> m_upstream;
+    std::optional<Announcement> m_process; // the last announcement, also after its upstream was removed: m_client connects to it
     base::Time m_announcedAt;
     std::optional<base::Time> m_drainingSince; // of the upstream
     std::unique_ptr<http::UpstreamClient> m_client;
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -24,8 +24,8 @@
     std::optional<base::Time> heldSince; // a suspect that waits for the run of another one
     policy::Standing standing; // of the request, when its run began
     Stage stage = Stage::Offered;
-    http::UpstreamCall* upstream = nullptr;
-    base::UpstreamVersion version;
+    std::weak_ptr<http::UpstreamCall> upstream; // expired: not sent, ended, or its client is gone
+    base::UpstreamVersion version; // to which it was admitted; empty: not yet
     event* timer = nullptr; // first the deferred start, then the deadline
     int64_t arrivedMicros = 0;
     int64_t startedMicros = 0;
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -57,6 +57,7 @@
     if (holdSuspect(it))
         return;
     it.offered = true;
+    it.version = m_upstream->version;
     const Time now = base::steadyNow();
     const policy::Arrival arrival { { it.id }, it.call.caller, it.call.route, it.call.priority, it.call.expected, it.call.deadline, it.call.internal, it.call.targetDeadline };
     const policy::Decision decision = policy::offer(m_admission, arrival, now);
@@ -81,9 +82,15 @@
     }
 }
 
+// False: the upstream to which it was admitted has gone, or was replaced by one of another service or version.
+bool Owner::mayRunHere(const ActiveCall& it) const
+{
+    return m_upstream && m_upstream->service == it.call.service && m_upstream->version == it.version;
+}
+
 void Owner::run(ActiveCall& it)
 {
-    if (!m_upstream)
+    if (!mayRunHere(it))
         return releaseAndRefuse(it, base::fail(Code::NoUpstream, "the upstream is gone"));
     // The version may have been stopped, or the zone evacuated, while the call was queued; "not run" is still proven.
     if (auto error = findRefusal(it.call); error && (error->code == Code::VersionRolledBack || error->code == Code::ZoneEvacuated))
@@ -118,7 +125,7 @@
     switch (round.decision) {
     case policy::ClaimDecision::Run:
         // A process that was suspended after the grant must not run a call whose claim the keepers may have forgotten.
-        if (it->detached || base::steadyNow() - round.startedAt > maxClaimHandoverTime || base::steadyNow() >= it->call.deadline || !m_upstream || state() == EndpointState::Gone) {
+        if (it->detached || base::steadyNow() - round.startedAt > maxClaimHandoverTime || base::steadyNow() >= it->call.deadline || !mayRunHere(*it)) {
             m_claims->end(*granted, policy::ClaimEnd::NotStarted, {});
             it->claim.reset();
             return releaseAndRefuse(*it, base::fail(Code::DeadlineTooNear, "no time left after the claim was granted"));
@@ -205,7 +212,6 @@
     const Time now = base::steadyNow();
     const Duration left = it.call.deadline - now;
     it.stage = Stage::Running;
-    it.version = m_upstream->version;
     it.standing = m_suspectRequests->standingOf({ it.digest, it.version });
     it.upstreamBusy = static_cast<int>(m_admission.running.size()) * 4 >= m_admission.slots.announced * 3;
     it.startedMicros = base::steadyMicros();
@@ -284,8 +290,9 @@
     if (it.detached || it.notRunByUpstream || !it.handler.body)
         return discardBody(it, buf);
     it.unconsumedBytes += n;
-    if (it.unconsumedBytes > bodyWindowBytes)
-        it.upstream->pause();
+    const auto upstream = it.upstream.lock();
+    if (upstream && it.unconsumedBytes > bodyWindowBytes)
+        upstream->pause();
     it.handler.body(buf);
 }
 
@@ -299,7 +306,7 @@
         return;
     if (!it.notRunByUpstream)
         return failRun(it, base::fail(Code::AnswerTruncated, "nobody waits for the rest of the upstream's answer"));
-    it.upstream->cancel();
+    cancelUpstream(it);
     onEnd(it, {});
 }
 
@@ -309,13 +316,14 @@
     if (!it)
         return;
     it->unconsumedBytes -= std::min(bytes, it->unconsumedBytes);
-    if (it->unconsumedBytes <= bodyWindowBytes / 2 && it->upstream)
-        it->upstream->resume();
+    const auto upstream = it->upstream.lock();
+    if (upstream && it->unconsumedBytes <= bodyWindowBytes / 2)
+        upstream->resume();
 }
 
 void Owner::onEnd(ActiveCall& it, const http::AnswerEnd& end)
 {
-    it.upstream = nullptr;
+    it.upstream.reset();
     it.ranMicros = base::steadyMicros() - it.startedMicros;
     m_runTime.add(it.ranMicros);
     RunEnd how = RunEnd::Good;
@@ -359,13 +367,18 @@
         m_claims->end(claim, base::info(error->code).notRun ? policy::ClaimEnd::NotStarted : policy::ClaimEnd::Unknown, {});
 }
 
+void Owner::cancelUpstream(ActiveCall& it)
+{
+    if (const auto upstream = it.upstream.lock())
+        upstream->cancel();
+    it.upstream.reset();
+}
+
 void Owner::failRun(ActiveCall& it, base::Error error)
 {
     if (it.stage != Stage::Running)
         return;
-    if (it.upstream)
-        it.upstream->cancel();
-    it.upstream = nullptr;
+    cancelUpstream(it);
     it.ranMicros = base::steadyMicros() - it.startedMicros;
     record(it, RunEnd::Failed);
     endClaim(it, error);
@@ -439,12 +452,11 @@
     if (begun && !it->call.idempotent) {
         it->detached = true;
         it->unconsumedBytes = 0;
-        if (it->upstream)
-            it->upstream->resume();
+        if (const auto upstream = it->upstream.lock())
+            upstream->resume();
         return;
     }
-    if (it->upstream)
-        it->upstream->cancel();
+    cancelUpstream(*it);
     const bool offered = it->offered;
     m_runningSuspects.erase(id);
     m_calls.erase(id);
--- a/src/appletally/policy/admission.h
+++ b/src/appletally/policy/admission.h
@@ -110,6 +110,7 @@
     ConcurrencyLimit slots;
     std::optional<RateLimit> rate; // empty: the upstream names none
     bool draining = false;
+    bool suspended = false; // there is no upstream, or it is being replaced: nothing starts, requests wait
     std::map<RequestId, Running> running; // more than slots.limit only just after the limit was lowered
     std::array<Class, config::priorityCount> classes;
     RunEstimates runs;
--- a/src/appletally/policy/admission_slots.cpp
+++ b/src/appletally/policy/admission_slots.cpp
@@ -55,7 +55,7 @@
 
 bool slotFree(const Admission& it, base::Duration run, base::Time now)
 {
-    if (it.rate && !mayTake(*it.rate, now))
+    if (it.suspended || (it.rate && !mayTake(*it.rate, now)))
         return false;
     if (static_cast<int>(it.running.size()) >= it.slots.limit)
         return false;
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -90,7 +90,7 @@
 };
 
 struct TestCall {
-    http::UpstreamCall* call = nullptr;
+    std::weak_ptr<http::UpstreamCall> call;
     int status = 0;
     std::string body;
     std::optional<http::AnswerEnd> end;
@@ -316,7 +316,7 @@
     http::UpstreamClient client(upstream.loop, upstream.address);
     TestCall testCall(client, "a");
     REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /a"); }));
-    testCall.call->cancel();
+    testCall.call.lock()->cancel();
     upstream.sendBytes(0, answer("a", "late"));
     TestCall next(client, "b");
     REQUIRE(upstream.run([&] { return upstream.hasReceived(1, "GET /b"); }));
