--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -53,6 +53,7 @@
     UpstreamCold = 411,
     UpstreamWarm = 412,
     UpstreamEnded = 413,
+    MessageNotSent = 414,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/base/result.h
+++ b/src/appletally/base/result.h
@@ -70,6 +70,7 @@
     NoFreeSlot = 418,
     ZoneEvacuated = 419,
     RequestBlocked = 420,
+    NoBodyMemory = 421,
 
     // 5xx: a request whose outcome is unknown, or that ran and failed
     OutcomeUnknown = 501,
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -248,6 +248,7 @@
     case ReadStep::End:
         resetReader(reader);
         ++listener.m_counts.requests;
+        incoming->m_request.largeBody = std::move(incomingBody);
         queue.push_back(std::move(incoming));
         if (!queue.back()->m_callerKeepsAlive)
             closing = Closing::AfterAnswers;
@@ -287,6 +288,12 @@
     bodyLimit = std::min(listener.m_hooks.bodyLimit(request), listener.m_limits.maxBodyBytes);
     if (reader.head.length > 0 && static_cast<uint64_t>(reader.head.length) > bodyLimit)
         return reject(Code::BodyTooLarge, "body larger than " + std::to_string(bodyLimit) + " bytes");
+    incomingBody.reset();
+    if (reader.head.length > static_cast<int64_t>(listener.m_limits.maxSmallBodyBytes)) {
+        const auto length = static_cast<uint64_t>(reader.head.length);
+        if (!beginLargeBody(length, length))
+            return;
+    }
     const std::string* expects = findHeader(request.headers, "Expect");
     if (expects && hasToken(*expects, "100-continue") && queue.empty() && !reader.messageEnded)
         evbuffer_add_printf(bufferevent_get_output(buffers), "HTTP/1.1 100 Continue\r\n\r\n");
@@ -294,15 +301,47 @@
 
 void CallerConnection::addBody(evbuffer* buf)
 {
+    if (reader.bodyBytes > bodyLimit)
+        return reject(Code::BodyTooLarge, "body larger than " + std::to_string(bodyLimit) + " bytes");
     std::string& body = incoming->m_request.body;
     const size_t n = evbuffer_get_length(buf);
-    if (body.size() + n > bodyLimit)
-        return reject(Code::BodyTooLarge, "body larger than " + std::to_string(bodyLimit) + " bytes");
+    if (!incomingBody && body.size() + n > listener.m_limits.maxSmallBodyBytes) { // in chunks: its length was not known
+        if (!beginLargeBody(bodyLimit, 0))
+            return;
+        evbuffer_prepend(buf, body.data(), body.size());
+        body = {};
+    }
+    if (incomingBody) {
+        addLargeBody(buf);
+        return;
+    }
     const size_t before = body.size();
     body.resize(before + n);
     evbuffer_remove(buf, body.data() + before, n);
 }
 
+bool CallerConnection::beginLargeBody(uint64_t capacity, uint64_t reserved)
+{
+    if (listener.reserveBody(reserved) == policy::BodyRoom::Free)
+        incomingBody = LargeBody::make(listener.m_bodyMemory, capacity, reserved);
+    if (!incomingBody)
+        reject(Code::NoBodyMemory, "no memory for the body");
+    return incomingBody != nullptr;
+}
+
+bool CallerConnection::addLargeBody(evbuffer* buf)
+{
+    constexpr uint64_t reservedStep = 1024 * 1024; // of a body whose length is not known
+    while (incomingBody->reserved() < incomingBody->size() + evbuffer_get_length(buf)) {
+        if (listener.reserveBody(reservedStep) != policy::BodyRoom::Free) {
+            reject(Code::NoBodyMemory, "no memory for the rest of the body");
+            return false;
+        }
+        incomingBody->addReserved(reservedStep);
+    }
+    return incomingBody->append(buf);
+}
+
 // The rejected request is queued, so that the answers before it are still sent first.
 void CallerConnection::reject(Code code, const std::string& text)
 {
@@ -317,6 +356,7 @@
     incoming->m_callerKeepsAlive = false;
     incoming->m_started = true;
     reader.inMessage = false;
+    incomingBody.reset();
     closing = Closing::AfterAnswers;
     phaseStart = base::steadyNow();
     CallerExchange* it = incoming.get();
--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -27,7 +27,9 @@
     void readRequests();
     bool readStep(); // false: wait for more bytes
     void beginRequest();
+    bool beginLargeBody(uint64_t capacity, uint64_t reserved); // false: the request was rejected
     void addBody(evbuffer*);
+    bool addLargeBody(evbuffer*); // false: the request was rejected
     void reject(base::Code, const std::string& text); // answers with an error and closes
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
@@ -47,6 +49,7 @@
     std::string peerIp;
     bufferevent* buffers = nullptr;
     MessageReader reader;
+    std::shared_ptr<LargeBody> incomingBody; // set: the body of `incoming` is a large one
     std::unique_ptr<CallerExchange> incoming; // the exchange whose head or body is still being received
     std::deque<std::unique_ptr<CallerExchange>> queue; // complete requests, oldest first; only the answer at the front is written
     size_t bodyLimit = 0;
--- a/src/appletally/http/caller_listener.cpp
+++ b/src/appletally/http/caller_listener.cpp
@@ -19,6 +19,7 @@
     : m_loop(loop)
     , m_limits(limits)
     , m_hooks(std::move(hooks))
+    , m_bodyMemory(std::make_shared<policy::BodyMemory>())
 {
     m_sweepTimer = event_new(
         loop, -1, EV_PERSIST, [](evutil_socket_t, short, void* arg) { static_cast<CallerListener*>(arg)->sweep(); }, this);
@@ -76,6 +77,8 @@
     ++m_counts.connections;
 }
 
+policy::BodyRoom CallerListener::reserveBody(uint64_t bytes) { return policy::reserveBody(*m_bodyMemory, bytes, 0); }
+
 void CallerListener::setLimits(const ListenerLimits& limits) { m_limits = limits; }
 
 void CallerListener::setDraining(bool it) { m_draining = it; }
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -24,6 +24,7 @@
 #include "appletally/base/ids.h"
 #include "appletally/base/result.h"
 #include "appletally/http/header.h"
+#include "appletally/http/large_body.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -40,6 +41,7 @@
 struct ListenerLimits {
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
+    size_t maxSmallBodyBytes = 256 * 1024; // a larger body is kept once, and passed on in parts
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
     size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; see the head comment for what happens above it
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
@@ -68,6 +70,7 @@
     std::string target; // path and query as sent
     std::vector<HeaderField> headers;
     std::string body;
+    std::shared_ptr<const LargeBody> largeBody; // set: the body; `body` is then empty
     std::string peerIp;
 };
 
@@ -153,6 +156,7 @@
     friend struct CallerConnection;
     friend class CallerExchange;
     void accept(evutil_socket_t, const std::string& peerIp);
+    policy::BodyRoom reserveBody(uint64_t bytes);
     void closeIdleNow();
     void sweep();
     void deleteClosed(); // deletes objects that ended inside their own callbacks
@@ -168,6 +172,7 @@
     std::vector<std::unique_ptr<CallerConnection>> m_closedConnections; // deleted from the event loop
     std::vector<std::unique_ptr<CallerExchange>> m_endedExchanges;
     ListenerCounts m_counts;
+    std::shared_ptr<policy::BodyMemory> m_bodyMemory; // of large bodies, which may outlive their exchanges
     size_t m_heldBytes = 0; // of all exchanges
     bool m_draining = false;
     bool m_acceptingStopped = false;
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -51,8 +51,9 @@
         if (!hasHost)
             out += "Host: upstream\r\n";
         const bool bodyExpected = request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
-        if (!request.body.empty() || bodyExpected)
-            out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        const uint64_t length = request.body.size() + request.bodyLength;
+        if (length > 0 || bodyExpected)
+            out += "Content-Length: " + std::to_string(length) + "\r\n";
         return out + "\r\n";
     }
 
@@ -82,6 +83,17 @@
         bufferevent_enable(m_connection->buffers, EV_READ);
 }
 
+bool UpstreamCall::appendBody(std::string_view bytes)
+{
+    if (m_finished)
+        return true;
+    if (bytes.size() > m_bodyRequested - m_bodyAppended)
+        return false;
+    m_bodyAppended += bytes.size();
+    evbuffer_add(bufferevent_get_output(m_connection->buffers), bytes.data(), bytes.size());
+    return true;
+}
+
 // --- Connection ---
 
 UpstreamConnection::UpstreamConnection(UpstreamClient& owner)
@@ -104,7 +116,8 @@
     // Callbacks are deferred, since connecting may fail immediately, inside start().
     buffers = bufferevent_socket_new(client.m_loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(
-        buffers, [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->onReadable(); }, nullptr,
+        buffers, [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->onReadable(); },
+        [](bufferevent*, void* self) { static_cast<UpstreamConnection*>(self)->requestBody(); },
         [](bufferevent*, short what, void* self) { static_cast<UpstreamConnection*>(self)->onEvent(what); }, this);
     const timeval timeout = base::toTimeval(limit);
     bufferevent_set_timeouts(buffers, nullptr, &timeout); // for connecting; removed once connected
@@ -128,12 +141,29 @@
     if (!connected)
         return; // onEvent() sends it
     it.m_sent = true;
+    bufferevent_setwatermark(buffers, EV_WRITE, it.m_request.bodyLength > 0 ? it.m_request.bodyWindow / 2 : 0, 0);
     const std::string head = headOf(it.m_request);
     evbuffer* out = bufferevent_get_output(buffers);
     evbuffer_add(out, head.data(), head.size());
     evbuffer_add(out, it.m_request.body.data(), it.m_request.body.size());
 }
 
+// Called when the output is at most half a window.
+void UpstreamConnection::requestBody()
+{
+    if (dropped || !call || call->m_bodyRequested == call->m_request.bodyLength)
+        return;
+    const uint64_t pending = call->m_bodyRequested - call->m_bodyAppended + evbuffer_get_length(bufferevent_get_output(buffers));
+    const uint64_t window = call->m_request.bodyWindow;
+    if (pending > window / 2)
+        return;
+    const uint64_t n = std::min(window - pending, call->m_request.bodyLength - call->m_bodyRequested);
+    call->m_bodyRequested += n;
+    call->m_handler.wantBody(n); // last, because it may end the call
+}
+
+bool UpstreamConnection::bodyIncomplete() const { return call && call->m_bodyAppended < call->m_request.bodyLength; }
+
 void UpstreamConnection::onEvent(short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
@@ -293,10 +323,10 @@
 void UpstreamConnection::end(std::optional<base::Error> error)
 {
     UpstreamCall& ended = *call;
-    call = nullptr;
-    const bool unsent = evbuffer_get_length(bufferevent_get_output(buffers)) > 0; // it answered before it had received the whole body
+    const bool unsent = bodyIncomplete() || evbuffer_get_length(bufferevent_get_output(buffers)) > 0; // it answered before it had received the whole body
     const bool unread = evbuffer_get_length(bufferevent_get_input(buffers)) > 0; // bytes after the answer
     client.m_counts.unsolicitedBytes += unread ? 1 : 0;
+    call = nullptr;
     const uint64_t bytes = reader.bodyBytes;
     const bool keeps = !error && !unsent && !unread && !sawUnsolicited && idleTimeout > Duration {};
     if (keeps)
@@ -407,6 +437,10 @@
     if (it.dropped)
         return;
     it.dropped = true;
+    if (it.bodyIncomplete()) { // an orderly close could pass for the end of the body
+        const linger reset { 1, 0 };
+        setsockopt(bufferevent_getfd(it.buffers), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
     it.call = nullptr;
     it.onDialed = {};
     std::erase(m_idle, &it);
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -9,6 +9,9 @@
 //
 // They can also send without end. What is skipped before the answer, and the answer itself, are therefore limited; above the
 // limit the connection is closed and the call fails as after any other invalid answer.
+//
+// A large request body is requested in parts as the upstream reads it, so that this process holds at most a window of it. The
+// upstream may answer before it has read all of it; such a connection is not reused.
 #pragma once
 
 #include "appletally/base/clock.h"
@@ -22,6 +25,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace appletally::http {
@@ -34,6 +38,8 @@
     bool idempotent = false; // false: must not use a connection that may already be closed
     std::string idHeader; // name of the header in which the answer repeats `id`
     std::string id; // empty: not checked
+    uint64_t bodyLength = 0; // of a body that follows through appendBody(); `body` is then empty
+    uint64_t bodyWindow = 256 * 1024; // that much of it is requested in advance
 };
 
 struct AnswerHead {
@@ -51,6 +57,7 @@
     std::function<void(const AnswerHead&)> head;
     std::function<void(evbuffer*)> body; // drains the buffer
     std::function<void(const AnswerEnd&)> end; // called once, last
+    std::function<void(uint64_t bytes)> wantBody; // so many bytes more may be passed to appendBody(), at once or later
 };
 
 struct ClientLimits {
@@ -83,6 +90,7 @@
     void cancel(); // no callback follows; the connection is closed and not reused
     void pause(); // stops reading from the upstream
     void resume();
+    bool appendBody(std::string_view); // false: more than was requested
 
 private:
     friend class UpstreamClient;
@@ -91,6 +99,8 @@
     UpstreamConnection* m_connection = nullptr;
     UpstreamRequest m_request;
     UpstreamHandler m_handler;
+    uint64_t m_bodyRequested = 0; // invariant: at least m_bodyAppended, at most bodyLength
+    uint64_t m_bodyAppended = 0;
     bool m_sent = false; // the upstream may have received bytes
     bool m_finished = false;
 };
--- a/src/appletally/http/upstream_connection.h
+++ b/src/appletally/http/upstream_connection.h
@@ -15,6 +15,8 @@
 
     bool dial(const base::Address&, base::Duration limit);
     void send(UpstreamCall&);
+    void requestBody(); // further bytes of a large one, as the upstream reads
+    bool bodyIncomplete() const; // bytes of the current request's body are still missing
     void onReadable();
     void onEvent(short what);
     void onDialedIdle();
--- a/src/appletally/inner/frame.cpp
+++ b/src/appletally/inner/frame.cpp
@@ -5,13 +5,16 @@
 
 namespace appletally::inner {
 
-void appendFrame(evbuffer* out, capnp::MessageBuilder& message)
+bool appendFrame(evbuffer* out, capnp::MessageBuilder& message)
 {
+    if (capnp::computeSerializedSizeInWords(message) > maxFrameBytes / sizeof(capnp::word))
+        return false;
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     const uint32_t length = htonl(static_cast<uint32_t>(bytes.size()));
     evbuffer_add(out, &length, sizeof length);
     evbuffer_add(out, bytes.begin(), bytes.size());
+    return true;
 }
 
 base::Result<Frame> takeFrame(evbuffer* in, uint32_t maxBytes)
--- a/src/appletally/inner/frame.h
+++ b/src/appletally/inner/frame.h
@@ -11,11 +11,11 @@
 
 namespace appletally::inner {
 
-// Fits a call with the largest request body (1 MiB) and its headers, with headroom.
+// Fits a call with the largest headers and a small body; larger bodies are sent in pieces.
 constexpr uint32_t maxFrameBytes = 2 * 1024 * 1024;
 constexpr size_t frameHeaderBytes = 4;
 
-void appendFrame(evbuffer* out, capnp::MessageBuilder&);
+bool appendFrame(evbuffer* out, capnp::MessageBuilder&); // false: larger than maxFrameBytes; nothing was appended
 
 struct Frame {
     kj::Array<capnp::word> words; // empty: the frame is not complete yet
--- a/src/appletally/inner/link.capnp
+++ b/src/appletally/inner/link.capnp
@@ -23,6 +23,8 @@
     load @13 :Load;        # sent unsolicited when a change must reach callers at once
     claim @14 :Claim;      # a request, response or notification between a claim's owner and a keeper
     suspects @15 :List(SuspectRequest); # from the dialing side, while it reaches no control process; the other way they travel in load
+    callBody @16 :CallBody; # a piece of a large request body; never more bytes than bodyCredit has allowed
+    bodyCredit @17 :Credit; # from the accepting side: further bytes of a call's body that may be sent; none before its call has a slot
   }
 }
 
@@ -36,6 +38,7 @@
   host @0 :Text;
   nonce @1 :Data;
   mac @2 :Data;
+  takesBodies @3 :Bool;    # understands callBody; false: an older node, which takes no large bodies
 }
 
 struct Header {
@@ -67,6 +70,13 @@
   hasFullWorth @20 :Bool;
   fullWorthMs @21 :Int64;  # remaining time to the target latency; below 0: it has passed
   suspect @22 :SuspectRequest; # what the caller's node knows of this request on the upstream's version; absent: nothing
+  bodyBytes @23 :UInt64;   # of a body that follows in callBody messages; 0: it is in `body`
+  bodyDigest @24 :UInt64;  # XXH3 of that body
+}
+
+struct CallBody {
+  id @0 :UInt64;
+  data @1 :Data;
 }
 
 struct AnswerHead {
--- a/src/appletally/inner/link.capnp.h
+++ b/src/appletally/inner/link.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(84cec82baf276033);
 CAPNP_DECLARE_SCHEMA(857dcb1b37fbb25e);
 CAPNP_DECLARE_SCHEMA(eeb21ee11bc83c73);
+CAPNP_DECLARE_SCHEMA(c65b89f0685a457f);
 CAPNP_DECLARE_SCHEMA(8142b4df72150420);
 CAPNP_DECLARE_SCHEMA(80516c8753f1056d);
 CAPNP_DECLARE_SCHEMA(96f86772ab1747c4);
@@ -61,6 +62,8 @@
     LOAD,
     CLAIM,
     SUSPECTS,
+    CALL_BODY,
+    BODY_CREDIT,
   };
 
   struct _capnpPrivate {
@@ -94,7 +97,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(84cec82baf276033, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(84cec82baf276033, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -124,7 +127,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 9, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(eeb21ee11bc83c73, 11, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CallBody {
+  CallBody() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c65b89f0685a457f, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -346,6 +364,14 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool isCallBody() const;
+  inline bool hasCallBody() const;
+  inline  ::appletally::inner::wire::CallBody::Reader getCallBody() const;
+
+  inline bool isBodyCredit() const;
+  inline bool hasBodyCredit() const;
+  inline  ::appletally::inner::wire::Credit::Reader getBodyCredit() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -487,6 +513,22 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool isCallBody();
+  inline bool hasCallBody();
+  inline  ::appletally::inner::wire::CallBody::Builder getCallBody();
+  inline void setCallBody( ::appletally::inner::wire::CallBody::Reader value);
+  inline  ::appletally::inner::wire::CallBody::Builder initCallBody();
+  inline void adoptCallBody(::capnp::Orphan< ::appletally::inner::wire::CallBody>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::wire::CallBody> disownCallBody();
+
+  inline bool isBodyCredit();
+  inline bool hasBodyCredit();
+  inline  ::appletally::inner::wire::Credit::Builder getBodyCredit();
+  inline void setBodyCredit( ::appletally::inner::wire::Credit::Reader value);
+  inline  ::appletally::inner::wire::Credit::Builder initBodyCredit();
+  inline void adoptBodyCredit(::capnp::Orphan< ::appletally::inner::wire::Credit>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::wire::Credit> disownBodyCredit();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -640,6 +682,8 @@
   inline bool hasMac() const;
   inline  ::capnp::Data::Reader getMac() const;
 
+  inline bool getTakesBodies() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -689,6 +733,9 @@
   inline void adoptMac(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownMac();
 
+  inline bool getTakesBodies();
+  inline void setTakesBodies(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -878,6 +925,10 @@
   inline bool hasSuspect() const;
   inline  ::appletally::inner::wire::SuspectRequest::Reader getSuspect() const;
 
+  inline  ::uint64_t getBodyBytes() const;
+
+  inline  ::uint64_t getBodyDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1011,6 +1062,12 @@
   inline void adoptSuspect(::capnp::Orphan< ::appletally::inner::wire::SuspectRequest>&& value);
   inline ::capnp::Orphan< ::appletally::inner::wire::SuspectRequest> disownSuspect();
 
+  inline  ::uint64_t getBodyBytes();
+  inline void setBodyBytes( ::uint64_t value);
+
+  inline  ::uint64_t getBodyDigest();
+  inline void setBodyDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1038,6 +1095,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class CallBody::Reader {
+public:
+  typedef CallBody Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId() const;
+
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CallBody::Builder {
+public:
+  typedef CallBody Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getId();
+  inline void setId( ::uint64_t value);
+
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CallBody::Pipeline {
+public:
+  typedef CallBody Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AnswerHead::Reader {
 public:
   typedef AnswerHead Reads;
@@ -2683,6 +2826,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool LinkMessage::Reader::isCallBody() const {
+  return which() == LinkMessage::CALL_BODY;
+}
+inline bool LinkMessage::Builder::isCallBody() {
+  return which() == LinkMessage::CALL_BODY;
+}
+inline bool LinkMessage::Reader::hasCallBody() const {
+  if (which() != LinkMessage::CALL_BODY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkMessage::Builder::hasCallBody() {
+  if (which() != LinkMessage::CALL_BODY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::wire::CallBody::Reader LinkMessage::Reader::getCallBody() const {
+  KJ_IREQUIRE((which() == LinkMessage::CALL_BODY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::wire::CallBody::Builder LinkMessage::Builder::getCallBody() {
+  KJ_IREQUIRE((which() == LinkMessage::CALL_BODY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkMessage::Builder::setCallBody( ::appletally::inner::wire::CallBody::Reader value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::CALL_BODY);
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::wire::CallBody::Builder LinkMessage::Builder::initCallBody() {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::CALL_BODY);
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkMessage::Builder::adoptCallBody(
+    ::capnp::Orphan< ::appletally::inner::wire::CallBody>&& value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::CALL_BODY);
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::wire::CallBody> LinkMessage::Builder::disownCallBody() {
+  KJ_IREQUIRE((which() == LinkMessage::CALL_BODY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::CallBody>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LinkMessage::Reader::isBodyCredit() const {
+  return which() == LinkMessage::BODY_CREDIT;
+}
+inline bool LinkMessage::Builder::isBodyCredit() {
+  return which() == LinkMessage::BODY_CREDIT;
+}
+inline bool LinkMessage::Reader::hasBodyCredit() const {
+  if (which() != LinkMessage::BODY_CREDIT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LinkMessage::Builder::hasBodyCredit() {
+  if (which() != LinkMessage::BODY_CREDIT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::wire::Credit::Reader LinkMessage::Reader::getBodyCredit() const {
+  KJ_IREQUIRE((which() == LinkMessage::BODY_CREDIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::wire::Credit::Builder LinkMessage::Builder::getBodyCredit() {
+  KJ_IREQUIRE((which() == LinkMessage::BODY_CREDIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkMessage::Builder::setBodyCredit( ::appletally::inner::wire::Credit::Reader value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::BODY_CREDIT);
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::wire::Credit::Builder LinkMessage::Builder::initBodyCredit() {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::BODY_CREDIT);
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LinkMessage::Builder::adoptBodyCredit(
+    ::capnp::Orphan< ::appletally::inner::wire::Credit>&& value) {
+  _builder.setDataField<LinkMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, LinkMessage::BODY_CREDIT);
+  ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::wire::Credit> LinkMessage::Builder::disownBodyCredit() {
+  KJ_IREQUIRE((which() == LinkMessage::BODY_CREDIT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::appletally::inner::wire::Credit>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Greet::Reader::hasCluster() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2887,6 +3138,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Greeted::Reader::getTakesBodies() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Greeted::Builder::getTakesBodies() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Greeted::Builder::setTakesBodies(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Header::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3462,6 +3727,82 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Call::Reader::getBodyBytes() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getBodyBytes() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setBodyBytes( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Call::Reader::getBodyDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Call::Builder::getBodyDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Call::Builder::setBodyDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t CallBody::Reader::getId() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CallBody::Builder::getId() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CallBody::Builder::setId( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CallBody::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallBody::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader CallBody::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder CallBody::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CallBody::Builder::setData( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder CallBody::Builder::initData(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CallBody::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> CallBody::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t AnswerHead::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/appletally/inner/node_link.cpp
+++ b/src/appletally/inner/node_link.cpp
@@ -1,6 +1,7 @@
 // Handshake and heartbeats of a node link.
 #include "appletally/inner/node_link.h"
 
+#include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 #include "appletally/inner/frame.h"
 #include "appletally/inner/rpc_limits.h"
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <capnp/message.h>
+#include <capnp/serialize.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -96,10 +98,12 @@
     return link;
 }
 
-void NodeLink::send(capnp::MessageBuilder& message)
+bool NodeLink::send(capnp::MessageBuilder& message)
 {
-    if (!m_failure && !m_directionClosed)
-        appendFrame(bufferevent_get_output(m_bufferEvent), message);
+    if (m_failure || m_directionClosed || appendFrame(bufferevent_get_output(m_bufferEvent), message))
+        return true;
+    base::logEvent(base::Event::MessageNotSent, m_peer.text + ": " + std::to_string(capnp::computeSerializedSizeInWords(message) * sizeof(capnp::word)) + " bytes");
+    return false;
 }
 
 size_t NodeLink::backlog() const { return evbuffer_get_length(bufferevent_get_output(m_bufferEvent)); }
@@ -202,6 +206,7 @@
     greeted.setHost(m_membership->host.text);
     greeted.setNonce(toDataReader(m_serverNonce));
     greeted.setMac(toDataReader(mac));
+    greeted.setTakesBodies(true);
     send(message);
     m_stage = Stage::Proving;
 }
@@ -212,6 +217,7 @@
     if (!copyTo(m_serverNonce, greeted.getNonce()) || !copyTo(mac, greeted.getMac()))
         return fail(base::fail(Code::MessageMalformed, "wrong nonce or proof size"));
     m_peer = { greeted.getHost().cStr() };
+    m_peerTakesBodies = greeted.getTakesBodies();
     if (!verifyProof(*m_membership, Side::Server, m_clientNonce, m_serverNonce, m_peer.text, mac))
         return fail(base::fail(Code::WrongKey, "peer failed to prove the cluster key"));
     const Mac own = makeProof(*m_membership, Side::Client, m_clientNonce, m_serverNonce, m_membership->host.text);
--- a/src/appletally/inner/node_link.h
+++ b/src/appletally/inner/node_link.h
@@ -45,7 +45,9 @@
     NodeLink(const NodeLink&) = delete;
     NodeLink& operator=(const NodeLink&) = delete;
 
-    void send(capnp::MessageBuilder&); // no-op on a link that is down or finished
+    // No-op on a link that is down or finished. False: the peer would close the link over a message of this size, so it was
+    // not sent.
+    bool send(capnp::MessageBuilder&);
     void fail(base::Error); // `down` is called later from the event loop
 
     // Writes what is buffered and then closes this direction only; `down` is called once the peer has closed the other one.
@@ -55,6 +57,7 @@
     bool isUp() const { return m_stage == Stage::Up && !m_failure; }
     bool isFresh(base::Time now) const { return isUp() && now - m_lastReceived < maxFreshLinkAge; }
     const base::HostId& peer() const { return m_peer; } // empty before `up`
+    bool peerTakesBodies() const { return m_peerTakesBodies; } // of the dialed node, once up
     size_t backlog() const; // bytes not yet written to the socket
 
 private:
@@ -88,6 +91,7 @@
     Nonce m_serverNonce {};
     base::Time m_lastReceived;
     std::optional<base::Error> m_failure; // set at most once; afterwards only m_downEvent fires
+    bool m_peerTakesBodies = false;
     bool m_finishing = false;
     bool m_directionClosed = false; // only with m_finishing: nothing more is sent
 };
--- a/src/appletally/node/active_request.h
+++ b/src/appletally/node/active_request.h
@@ -27,6 +27,7 @@
     std::optional<http::AnswerHead> head;
     std::string bufferedBody;
     uint64_t bodyBytes = 0;
+    uint64_t bodySent = 0; // of a large request body
     uint64_t uncreditedBytes = 0; // body bytes received for which no credit has been returned to the owner
     base::Duration ran {}; // of a complete answer: at the upstream
     base::Duration transit {}; // of a complete answer: between this node and the owner, both ways; zero for a local attempt
@@ -40,6 +41,7 @@
     std::shared_ptr<const config::Snapshot> snapshot; // applied when the request arrived
     const config::Route* route = nullptr; // points into `snapshot`
     Call call;
+    std::shared_ptr<const http::LargeBody> body; // null: the body is in `call`. Kept to the end, for further attempts
     base::RequestDigest digest;
     base::Time startedAt;
     base::Duration earlierWait; // estimated time that the caller has spent on earlier sends
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -27,6 +27,8 @@
     std::string target; // path and query
     std::vector<http::HeaderField> headers;
     std::string body;
+    uint64_t bodyBytes = 0; // of a large body, which follows as CallHandler::wantBody asks for it; `body` is then empty
+    uint64_t bodyDigest = 0; // XXH3 of that body
     base::Time deadline; // on this process's clock; sent as the remaining time
     base::CallerId caller;
     base::IdempotencyKey key; // empty: not a keyed request
@@ -65,9 +67,13 @@
     std::function<void(const http::AnswerHead&)> head;
     std::function<void(evbuffer*)> body; // drains the buffer; consumed() is called when the bytes have been passed on
     std::function<void(const CallEnd&)> end;
+    // With a large body: so many bytes more may be passed to appendBody(), at once or later. Not called before the call has a
+    // slot, so that a refused call has cost no body.
+    std::function<void(uint64_t bytes)> wantBody;
 };
 
-// Flow-control window: body bytes that an owner may send before the ingress has passed them on. Large enough for a
+// Flow-control window, in each direction: body bytes that may be sent before the receiver has passed them on. Smaller request
+// bodies are part of their call. Large enough for a
 // delay of 1.5 ms at 1 Gbit/s, small enough that a hundred stalled callers hold 25 MB.
 constexpr uint64_t bodyWindowBytes = 256 * 1024;
 
--- a/src/appletally/node/claims.cpp
+++ b/src/appletally/node/claims.cpp
@@ -46,7 +46,7 @@
 uint64_t Claims::digestOf(const Call& call)
 {
     const std::string text = call.method + "\n" + call.target + "\n" + call.body;
-    return XXH3_64bits(text.data(), text.size());
+    return XXH3_64bits_withSeed(text.data(), text.size(), call.bodyBytes > 0 ? call.bodyBytes ^ call.bodyDigest : 0);
 }
 
 void Claims::apply(const config::KeeperSet& set)
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -109,6 +109,7 @@
     bool takeBackStream(ActiveRequest&, const base::Error&);
     void abortStream(ActiveRequest&, const base::Error&);
     void sendCredit(Attempt&);
+    void sendBody(ActiveRequest&, Attempt&, uint64_t bytes); // the next part of a large request body
     void onCompleteAnswer(ActiveRequest&, Attempt&);
     void recordRefusal(ActiveRequest&, const base::Error&);
     void onNoUpstreamLeft(ActiveRequest&);
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -99,6 +99,18 @@
     attempt.uncreditedBytes = 0;
 }
 
+void Ingress::sendBody(ActiveRequest& it, Attempt& attempt, uint64_t bytes)
+{
+    if (!it.body)
+        return;
+    const std::string_view part = it.body->view().substr(attempt.bodySent, bytes);
+    attempt.bodySent += part.size();
+    if (attempt.local)
+        m_owner->appendBody(attempt.callId, part);
+    else
+        m_peers->appendBody(attempt.callId, part);
+}
+
 void Ingress::onDrained(ActiveRequest& it)
 {
     for (const auto& attempt : it.activeAttempts)
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -124,6 +124,11 @@
         it.call.headers.push_back({ names.service, m_settings.service.text });
     }
     it.call.body = request.body;
+    if (request.largeBody) {
+        it.body = request.largeBody;
+        it.call.bodyBytes = it.body->size();
+        it.call.bodyDigest = it.body->digest();
+    }
     it.digest = digestOf(it.call);
     it.call.deadline = it.startedAt + Duration { std::clamp<int64_t>(requestedTimeout, 1, route.timeout.ms) };
     it.call.caller = { caller ? *caller : request.peerIp };
@@ -165,7 +170,7 @@
 
 bool Ingress::joinSharedRun(ActiveRequest& it)
 {
-    const bool isRead = m_settings.features.sharedReads && it.call.method == "GET" && it.route->idempotent && it.call.body.empty();
+    const bool isRead = m_settings.features.sharedReads && it.call.method == "GET" && it.route->idempotent && it.call.body.empty() && !it.body;
     if (!isRead || policy::join(m_collapse, readKeyOf(it.call, m_settings.dialect), { it.id }))
         return false;
     it.awaitingSharedRun = true;
@@ -305,6 +310,7 @@
     handler.head = [this, with](const http::AnswerHead& head) { with([&](ActiveRequest& active, Attempt& attempt) { onHead(active, attempt, head); }); };
     handler.body = [this, with](evbuffer* buf) { with([&](ActiveRequest& active, Attempt& attempt) { onBody(active, attempt, buf); }); };
     handler.end = [this, with](const CallEnd& end) { with([&](ActiveRequest& active, Attempt& attempt) { onEnd(active, attempt, end); }); };
+    handler.wantBody = [this, with](uint64_t bytes) { with([&](ActiveRequest& active, Attempt& attempt) { sendBody(active, attempt, bytes); }); };
     Call call = it.call;
     call.baseline = baselineFor(it, pick);
     call.suspect = m_suspectRequests->evidenceOf({ it.digest, pick.version });
--- a/src/appletally/node/owner_call.h
+++ b/src/appletally/node/owner_call.h
@@ -30,6 +30,7 @@
     int64_t arrivedMicros = 0;
     int64_t startedMicros = 0;
     int64_t ranMicros = 0;
+    uint64_t bodyAppended = 0; // of a large request body
     uint64_t unconsumedBytes = 0;
     uint64_t discardedBytes = 0; // of a body that nobody reads
     std::optional<ClaimId> claim; // granted or requested; must be ended exactly once
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -122,6 +122,8 @@
     switch (message.which()) {
     case LinkMessage::CALL:
         return onCall(it, message.getCall());
+    case LinkMessage::CALL_BODY:
+        return onCallBody(it, message.getCallBody());
     case LinkMessage::CANCEL: {
         m_answers.cancel({ it.number, message.getCancel() });
         auto found = it.calls.find(message.getCancel());
@@ -182,9 +184,29 @@
         accepted->calls.erase(id);
         m_answers.end({ accepted->number, id }, end);
     };
+    handler.wantBody = [weak, id](uint64_t bytes) {
+        auto accepted = weak.lock();
+        if (!accepted)
+            return;
+        capnp::MallocMessageBuilder out;
+        auto credit = out.initRoot<LinkMessage>().initBodyCredit();
+        credit.setId(id);
+        credit.setBytes(bytes);
+        accepted->link->send(out);
+    };
     it.calls[id] = m_owner->start(readCall(message, base::steadyNow()), std::move(handler));
 }
 
+void OwnerLinks::onCallBody(InboundLink& it, inner::wire::CallBody::Reader message)
+{
+    const auto found = it.calls.find(message.getId());
+    if (found == it.calls.end())
+        return; // it has ended, and its credit crossed this
+    const auto data = message.getData();
+    if (!m_owner->appendBody(found->second, { reinterpret_cast<const char*>(data.begin()), data.size() }))
+        it.link->fail(base::fail(Code::MessageMalformed, "more of a request body than was requested"));
+}
+
 void OwnerLinks::onClaim(InboundLink& it, inner::wire::Claim::Reader message)
 {
     const uint64_t id = message.getId();
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -46,6 +46,7 @@
     void accept(evutil_socket_t);
     void onMessage(InboundLink&, inner::wire::LinkMessage::Reader);
     void onCall(InboundLink&, inner::wire::Call::Reader);
+    void onCallBody(InboundLink&, inner::wire::CallBody::Reader);
     void onClaim(InboundLink&, inner::wire::Claim::Reader);
     void onDown(InboundLink&, const base::Error&);
     static void writeBody(inner::NodeLink&, uint64_t id, evbuffer*); // drains the buffer
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -182,6 +182,7 @@
     out.method = it.call.method;
     out.target = it.call.target;
     out.body = std::move(it.call.body);
+    out.bodyLength = it.call.bodyBytes;
     out.idempotent = it.call.idempotent;
     const std::string* named = http::findHeader(it.call.headers, "Connection"); // lists fields that apply to the caller's connection only
     for (const http::HeaderField& field : it.call.headers) {
@@ -234,6 +235,11 @@
         if (ActiveCall* found = find(id))
             onEnd(*found, end);
     };
+    handler.wantBody = [this, id](uint64_t bytes) {
+        ActiveCall* found = find(id);
+        if (found && !found->detached && found->handler.wantBody)
+            found->handler.wantBody(bytes);
+    };
     it.upstream = m_client->start(requestFor(it, wait), std::move(handler));
 }
 
@@ -321,6 +327,16 @@
         upstream->resume();
 }
 
+bool Owner::appendBody(OwnerCallId id, std::string_view bytes)
+{
+    ActiveCall* it = find(id);
+    const auto upstream = it ? it->upstream.lock() : nullptr;
+    if (!upstream)
+        return true; // it has ended in the meantime
+    it->bodyAppended += bytes.size();
+    return upstream->appendBody(bytes);
+}
+
 void Owner::onEnd(ActiveCall& it, const http::AnswerEnd& end)
 {
     it.upstream.reset();
@@ -449,6 +465,11 @@
     ++m_counts.cancelled;
     logCancelled(*it);
     const bool begun = it->stage == Stage::Running || it->stage == Stage::Claiming;
+    const bool bodyIsCut = it->stage == Stage::Running && it->bodyAppended < it->call.bodyBytes;
+    if (bodyIsCut) {
+        it->detached = true;
+        return failRun(*it, base::fail(Code::Cancelled, "the caller disconnected before its body was complete"));
+    }
     if (begun && !it->call.idempotent) {
         it->detached = true;
         it->unconsumedBytes = 0;
--- a/src/appletally/node/peers.cpp
+++ b/src/appletally/node/peers.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <capnp/message.h>
+#include <utility>
 
 namespace appletally::node {
 
@@ -19,6 +20,7 @@
 
 constexpr Duration suspicionCheckInterval { 100 };
 constexpr Duration idleLinkCheckInterval { 1000 };
+constexpr size_t maxBodyPieceBytes = 64 * 1024; // messages of other calls are sent between two pieces
 constexpr size_t maxPendingClaims = 10000; // per link; exceeded only in case of a fault
 
 struct Peers::Link {
@@ -47,11 +49,25 @@
 {
     m_tick = event_new(
         loop, -1, EV_PERSIST, [](evutil_socket_t, short, void* self) { static_cast<Peers*>(self)->onTick(); }, this);
+    m_refuse = evtimer_new(
+        loop, [](evutil_socket_t, short, void* self) {
+            auto* it = static_cast<Peers*>(self);
+            for (auto& [id, error] : std::exchange(it->m_refused, {})) {
+                CallEnd end;
+                end.error = std::move(error);
+                it->finish(id, end);
+            }
+        },
+        this);
     const timeval every = base::toTimeval(suspicionCheckInterval);
     event_add(m_tick, &every);
 }
 
-Peers::~Peers() { event_free(m_tick); }
+Peers::~Peers()
+{
+    event_free(m_tick);
+    event_free(m_refuse);
+}
 
 std::shared_ptr<Peers::Link> Peers::linkTo(const base::HostId& host, const base::Address& address, bool mustBeFresh)
 {
@@ -92,22 +108,50 @@
     ++link.uses;
     link.lastUsed = base::steadyNow();
     m_calls[id] = std::move(pending);
-    const auto write = [this, id](const Call& it) {
-        auto found = m_calls.find(id);
-        if (found == m_calls.end())
-            return; // cancelled before the link was up
-        capnp::MallocMessageBuilder out(static_cast<unsigned>(it.body.size() / sizeof(capnp::word) + 256));
-        writeCall(out.initRoot<LinkMessage>().initCall(), id, it, base::steadyNow());
-        found->second->written = true;
-        found->second->link->link->send(out);
-    };
     if (link.link->isUp())
-        write(call);
+        write(id, call);
     else
-        link.waiting.push_back([write, call] { write(call); });
+        link.waiting.push_back([this, id, call] { write(id, call); });
     return id;
 }
 
+void Peers::write(PeerCallId id, const Call& call)
+{
+    auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return; // cancelled before the link was up
+    inner::NodeLink& link = *found->second->link->link;
+    if (call.bodyBytes > 0 && !link.peerTakesBodies())
+        return refuseLater(id, base::fail(Code::NoUpstream, "the node there is of an older version, which takes no large bodies"));
+    capnp::MallocMessageBuilder out(static_cast<unsigned>(call.body.size() / sizeof(capnp::word) + 256));
+    writeCall(out.initRoot<LinkMessage>().initCall(), id, call, base::steadyNow());
+    if (!link.send(out))
+        return refuseLater(id, base::fail(Code::HeadersTooLarge, "the headers do not fit in a message between nodes"));
+    found->second->written = true;
+}
+
+void Peers::refuseLater(PeerCallId id, base::Error error)
+{
+    m_refused.push_back({ id, std::move(error) });
+    event_active(m_refuse, 0, 0);
+}
+
+void Peers::appendBody(PeerCallId id, std::string_view bytes)
+{
+    auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    while (!bytes.empty()) {
+        const std::string_view piece = bytes.substr(0, maxBodyPieceBytes);
+        bytes.remove_prefix(piece.size());
+        capnp::MallocMessageBuilder out(static_cast<unsigned>(piece.size() / sizeof(capnp::word) + 64));
+        auto message = out.initRoot<LinkMessage>().initCallBody();
+        message.setId(id);
+        message.setData({ reinterpret_cast<const uint8_t*>(piece.data()), piece.size() });
+        found->second->link->link->send(out);
+    }
+}
+
 Peers::PendingCall* Peers::find(Link& link, uint64_t id)
 {
     auto it = m_calls.find(id);
@@ -151,6 +195,12 @@
         return onAnswerBody(link, message.getAnswerBody());
     case LinkMessage::ANSWER_END:
         return onAnswerEnd(link, message.getAnswerEnd());
+    case LinkMessage::BODY_CREDIT: {
+        PendingCall* it = find(link, message.getBodyCredit().getId());
+        if (it && it->handler.wantBody)
+            it->handler.wantBody(message.getBodyCredit().getBytes());
+        return;
+    }
     case LinkMessage::REFUSED:
         if (find(link, message.getRefused().getId()))
             finish(message.getRefused().getId(), readRefused(message.getRefused()));
--- a/src/appletally/node/peers.h
+++ b/src/appletally/node/peers.h
@@ -33,6 +33,7 @@
     PeerCallId start(const base::HostId&, const base::Address&, const Call&, bool mayRepeat, CallHandler);
     void cancel(PeerCallId); // no callback follows
     void consumed(PeerCallId, uint64_t bytes);
+    void appendBody(PeerCallId, std::string_view); // part of a large request body, as CallHandler::wantBody asked for it
 
     void tellSuspectRequests(std::span<const config::SuspectRequest>); // to the owners on all established links
     void sendClaimMessage(const base::HostId&, const base::Address&, const std::string& body, OnClaimAnswer);
@@ -54,6 +55,8 @@
     void findSuspects(base::Time now);
     void closeUnusedLinks(base::Time now);
     void finish(PeerCallId, const CallEnd&);
+    void refuseLater(PeerCallId, base::Error); // from the event loop
+    void write(PeerCallId, const Call&); // on a link that is up
     PendingCall* find(Link&, uint64_t id);
 
     event_base* m_loop;
@@ -64,6 +67,8 @@
     std::map<base::HostId, std::shared_ptr<Link>> m_current;
     std::map<PeerCallId, std::unique_ptr<PendingCall>> m_calls;
     std::vector<base::HostId> m_suspects;
+    event* m_refuse = nullptr;
+    std::vector<std::pair<PeerCallId, base::Error>> m_refused; // calls that could not be written
     base::Time m_idleLinksCheckedAt;
     PeerCallId m_lastId = 0;
 };
--- a/src/appletally/node/request_digest.cpp
+++ b/src/appletally/node/request_digest.cpp
@@ -12,6 +12,10 @@
     uint64_t out = 0;
     for (const std::string* part : { &it.service.text, &it.method, &it.target, &it.body })
         out = XXH3_64bits_withSeed(part->data(), part->size(), out);
+    if (it.bodyBytes > 0) {
+        const uint64_t large[] = { it.bodyBytes, it.bodyDigest };
+        out = XXH3_64bits_withSeed(large, sizeof large, out);
+    }
     return { out };
 }
 
--- a/src/appletally/node/wire.cpp
+++ b/src/appletally/node/wire.cpp
@@ -36,6 +36,8 @@
     out.setTarget(in.target);
     writeHeaders(out.initHeaders(in.headers.size()), in.headers);
     out.setBody({ reinterpret_cast<const uint8_t*>(in.body.data()), in.body.size() });
+    out.setBodyBytes(in.bodyBytes);
+    out.setBodyDigest(in.bodyDigest);
     out.setRemainingMs((in.deadline - now).ms);
     out.setCaller(in.caller.text);
     out.setKey(in.key.text);
@@ -67,6 +69,8 @@
     out.target = text(in.getTarget());
     out.headers = readHeaders(in.getHeaders());
     out.body.assign(in.getBody().begin(), in.getBody().end());
+    out.bodyBytes = in.getBodyBytes();
+    out.bodyDigest = in.getBodyDigest();
     out.deadline = now + base::Duration { in.getRemainingMs() };
     out.caller = { text(in.getCaller()) };
     out.key = { text(in.getKey()) };
--- /dev/null
+++ b/tests/large_body_test.cpp
@@ -0,0 +1,192 @@
+// Large request bodies: passed on in parts, to the upstream beside the caller's node and to others.
+#include "node_fixture.h"
+
+#include "appletally/http/large_body.h"
+#include "appletally/inner/frame.h"
+#include "appletally/inner/link.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <catch2/catch.hpp>
+
+using namespace appletally;
+
+namespace {
+
+constexpr size_t largeBytes = 3'000'000; // above maxFrameBytes
+
+std::string bytesOf(size_t n, uint32_t seed = 1)
+{
+    std::string out(n, '\0');
+    for (char& it : out)
+        it = static_cast<char>((seed = seed * 1664525 + 1013904223) >> 24);
+    return out;
+}
+
+// Node "a" has the upstream; callers connect to node "b".
+struct UploadMesh {
+    TestMesh mesh;
+    TestUpstream upstream { mesh.loop() };
+    TestNode* a = nullptr;
+    TestNode* b = nullptr;
+
+    explicit UploadMesh(bool idempotent = false, size_t maxBodyBytes = 64 * 1024 * 1024)
+    {
+        mesh.limits.maxBodyBytes = maxBodyBytes;
+        mesh.edit = [=](config::Snapshot& snapshot) {
+            for (auto& [name, it] : snapshot.routes) {
+                it.maxRequestBody = { maxBodyBytes };
+                it.idempotent |= idempotent;
+            }
+        };
+        a = &mesh.addNode("a", "z1");
+        b = &mesh.addNode("b", "z2");
+    }
+
+    void start()
+    {
+        mesh.announce(*a, upstream, "ready", 10, "1.0", "plug-control");
+        mesh.applyEverywhere("examples/berthgrid.json");
+    }
+
+    std::shared_ptr<TestAnswer> post(const TestNode& node, const std::string& body, const std::string& name = "upload")
+    {
+        return mesh.ask(node, "POST", "/plugs/connect/" + name, { "Request-Tag: " + name }, body);
+    }
+};
+
+// The head of a raw request, without its body.
+std::string rawPost(const std::string& framing) { return "POST /plugs/connect/raw HTTP/1.1\r\nHost: test\r\n" + framing + "\r\n\r\n"; }
+
+bool hasStatus(const TestAnswer& it, const std::string& status) { return it.body.find("HTTP/1.1 " + status) != std::string::npos; }
+
+} // namespace
+
+TEST_CASE("a body larger than a message between nodes ends no call on their link", "[node][large-body]")
+{
+    // Guards against losing all calls of a link, among them commands that run, because of one large request.
+    UploadMesh it;
+    it.start();
+    it.upstream.hold = true;
+    const auto running = it.post(*it.b, "small", "running");
+    REQUIRE(it.mesh.run([&] { return it.upstream.held.size() == 1; }));
+    it.upstream.hold = false;
+    const std::string body = bytesOf(largeBytes);
+    const auto upload = it.post(*it.b, body);
+    REQUIRE(it.mesh.run([&] { return upload->done; }));
+    CHECK(upload->status == 200);
+    CHECK(it.upstream.lastBody == body);
+    CHECK_FALSE(running->done);
+    it.upstream.answerHeld();
+    REQUIRE(it.mesh.run([&] { return running->done; }));
+    CHECK(running->status == 200);
+}
+
+TEST_CASE("large bodies arrive whole at the upstream beside the caller's node, with a length and in chunks", "[node][large-body]")
+{
+    const bool chunked = GENERATE(false, true);
+    UploadMesh it;
+    it.start();
+    const std::string body = bytesOf(largeBytes);
+    std::string raw = rawPost(chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + std::to_string(body.size()));
+    if (!chunked)
+        raw += body;
+    for (size_t at = 0; chunked && at < body.size(); at += 100'000)
+        raw += "186a0\r\n" + body.substr(at, 100'000) + "\r\n"; // 100,000 in hexadecimal
+    if (chunked)
+        raw += "0\r\n\r\n";
+    const auto answer = it.mesh.askRaw(it.a->addresses.callers, raw);
+    REQUIRE(it.mesh.run([&] { return hasStatus(*answer, "200"); }));
+    CHECK(it.upstream.lastBody == body);
+}
+
+TEST_CASE("uploads at the same time do not mix their bodies", "[node][large-body]")
+{
+    UploadMesh it;
+    it.start();
+    it.upstream.hold = true;
+    std::vector<std::shared_ptr<TestAnswer>> all;
+    for (uint32_t n = 0; n < 4; ++n)
+        all.push_back(it.post(n % 2 ? *it.a : *it.b, bytesOf(largeBytes + n, n), std::to_string(n)));
+    REQUIRE(it.mesh.run([&] { return it.upstream.held.size() == 4; }));
+    for (evhttp_request* request : it.upstream.held) {
+        const std::string target = evhttp_request_get_uri(request);
+        const auto n = static_cast<uint32_t>(std::stoul(target.substr(target.rfind('/') + 1)));
+        evbuffer* buf = evhttp_request_get_input_buffer(request);
+        CHECK(std::string(reinterpret_cast<const char*>(evbuffer_pullup(buf, -1)), evbuffer_get_length(buf)) == bytesOf(largeBytes + n, n));
+    }
+    it.upstream.answerHeld();
+    REQUIRE(it.mesh.run([&] { return std::all_of(all.begin(), all.end(), [](const auto& answer) { return answer->status == 200; }); }));
+}
+
+TEST_CASE("an upload that a draining owner refuses reaches another host with its whole body", "[node][large-body]")
+{
+    // Guards against passing on a body before its call has a slot, after which it could not be sent elsewhere.
+    UploadMesh it;
+    TestNode& c = it.mesh.addNode("c", "z1");
+    TestUpstream second { it.mesh.loop() };
+    it.start();
+    it.mesh.announce(c, second, "ready", 10, "1.0", "plug-control");
+    it.mesh.shareEndpoints();
+    it.a->node->onUpstreamLeft(); // node b has not heard of it
+    const std::string body = bytesOf(largeBytes);
+    for (int n = 0; n < 4; ++n) {
+        const auto upload = it.post(*it.b, body);
+        REQUIRE(it.mesh.run([&] { return upload->done; }));
+        CHECK(upload->status == 200);
+    }
+    CHECK(it.upstream.runs == 0);
+    CHECK(second.runs == 4);
+    CHECK(second.lastBody == body);
+}
+
+TEST_CASE("an idempotent upload whose owner ends in the middle is repeated from its first byte", "[node][large-body]")
+{
+    UploadMesh it(true);
+    TestNode& c = it.mesh.addNode("c", "z1");
+    TestUpstream second { it.mesh.loop() };
+    it.start();
+    it.upstream.hold = true;
+    const std::string body = bytesOf(largeBytes);
+    const auto upload = it.post(*it.b, body);
+    REQUIRE(it.mesh.run([&] { return it.upstream.held.size() == 1; }));
+    it.mesh.announce(c, second, "ready", 10, "1.0", "plug-control");
+    it.mesh.shareEndpoints();
+    it.mesh.removeNode("a");
+    REQUIRE(it.mesh.run([&] { return upload->done; }));
+    CHECK(upload->status == 200);
+    CHECK(second.lastBody == body);
+}
+
+TEST_CASE("bodies that do not match their framing reach no upstream", "[node][large-body]")
+{
+    // Guards against passing on the beginning of a body: shorter than declared, or larger than allowed without a length.
+    UploadMesh it(false, 2'000'000);
+    it.start();
+    SECTION("the caller leaves in the middle")
+    {
+        const auto answer = it.mesh.askRaw(it.b->addresses.callers, rawPost("Content-Length: 1000000") + bytesOf(700'000));
+        it.mesh.runFor(base::Duration { 50 });
+        CHECK(answer->body.empty());
+    }
+    SECTION("chunks without end")
+    {
+        std::string raw = rawPost("Transfer-Encoding: chunked");
+        for (int n = 0; n < 21; ++n)
+            raw += "186a0\r\n" + bytesOf(100'000) + "\r\n";
+        const auto answer = it.mesh.askRaw(it.b->addresses.callers, raw);
+        REQUIRE(it.mesh.run([&] { return hasStatus(*answer, "413"); }));
+    }
+    CHECK(it.upstream.runs == 0);
+}
+
+TEST_CASE("a message above the frame limit is not written", "[inner][large-body]")
+{
+    // Guards against a sender that writes what its peer must answer by closing the link.
+    capnp::MallocMessageBuilder message;
+    message.initRoot<inner::wire::LinkMessage>().initCall().initBody(inner::maxFrameBytes);
+    evbuffer* out = evbuffer_new();
+    CHECK_FALSE(inner::appendFrame(out, message));
+    CHECK(evbuffer_get_length(out) == 0);
+    evbuffer_free(out);
+}
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -39,6 +39,9 @@
 {
     ++runs;
     lastTarget = evhttp_request_get_uri(request);
+    evbuffer* body = evhttp_request_get_input_buffer(request);
+    lastBody.resize(evbuffer_get_length(body));
+    evbuffer_copyout(body, lastBody.data(), lastBody.size());
     const char* key = evhttp_find_header(evhttp_request_get_input_headers(request), "Idempotency-Key");
     if (key)
         ++runsByKey[key];
@@ -181,6 +184,8 @@
         it.coldRate = coldRate;
         it.coldWindow = coldWindow;
     }
+    if (edit)
+        edit(*snapshot);
     snapshot->version = { ++m_version };
     return snapshot;
 }
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -28,6 +28,7 @@
     std::vector<evhttp_request*> held; // with `hold`: requests waiting for answerHeld()
     int runs = 0;
     std::string lastTarget;
+    std::string lastBody;
     bool hold = false;
     appletally::base::Duration delay; // of each answer that is not held
     int status = 200;
@@ -93,6 +94,7 @@
     appletally::base::Duration gracefulShutdownTimeout { 30000 }; // of nodes added from now on
     TestRollout rollout;
     std::set<appletally::base::ZoneName> evacuatedZones; // in the next snapshot
+    std::function<void(appletally::config::Snapshot&)> edit; // of the next snapshot; may be empty
     appletally::base::RequestRate coldRate; // of all services in the next snapshot
     appletally::base::Duration coldWindow;
 
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -350,3 +350,68 @@
     REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /berths/1"); }));
     CHECK(upstream.connections.size() == 1);
 }
+
+namespace {
+
+constexpr uint64_t windowBytes = 64 * 1024;
+
+constexpr uint64_t uploadBytes = 32'000'000; // more than the system's socket buffers take
+
+// A call with a large body that is supplied as the client asks for it.
+struct Upload {
+    std::shared_ptr<http::UpstreamCall> call;
+    uint64_t requested = 0;
+    int status = 0;
+    bool ended = false;
+
+    Upload(http::UpstreamClient& client, const std::string& id)
+    {
+        http::UpstreamRequest request;
+        request.method = "POST";
+        request.target = "/" + id;
+        request.headers = { { "X-Id", id }, { "Host", "a" } };
+        request.bodyLength = uploadBytes;
+        request.bodyWindow = windowBytes;
+        http::UpstreamHandler handler;
+        handler.head = [this](const http::AnswerHead& head) { status = head.status; };
+        handler.end = [this](const http::AnswerEnd&) { ended = true; };
+        handler.wantBody = [this](uint64_t n) {
+            requested += n;
+            call->appendBody(std::string(n, 'x'));
+        };
+        call = client.start(request, std::move(handler)).lock();
+    }
+};
+
+} // namespace
+
+TEST_CASE("a large body is requested no faster than the upstream reads it", "[upstream-client][large-body]")
+{
+    // Guards against holding a whole body in the output buffer of a slow upstream.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    Upload upload(client, "1");
+    REQUIRE(upstream.run([&] { return upstream.connections.size() == 1; }));
+    bufferevent_disable(upstream.connections[0], EV_READ);
+    upstream.run([] { return false; }, base::Duration { 100 });
+    const uint64_t whileStalled = upload.requested;
+    CHECK(whileStalled < uploadBytes);
+    bufferevent_enable(upstream.connections[0], EV_READ);
+    CHECK(upstream.run([&] { return upload.requested == uploadBytes && upstream.received[0].ends_with("xxx") && upstream.received[0].size() > uploadBytes; }));
+    CHECK_FALSE(upload.call->appendBody("more than was requested"));
+}
+
+TEST_CASE("a connection whose upstream answered before it had the whole body carries no other request", "[upstream-client][large-body]")
+{
+    // Guards against sending the next request's bytes where the rest of a body is due.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    Upload upload(client, "1");
+    REQUIRE(upstream.run([&] { return upstream.connections.size() == 1; }));
+    bufferevent_disable(upstream.connections[0], EV_READ);
+    upstream.sendBytes(0, answer("1", "early"));
+    REQUIRE(upstream.run([&] { return upload.ended; }));
+    CHECK(upload.status == 200);
+    TestCall next(client, "2");
+    REQUIRE(upstream.run([&] { return upstream.hasReceived(1, "GET /2"); }));
+}
