Memory for large request bodies is bounded by what the process may use

Cause: the body was held whole up to six times, and nothing bounded the bodies of all requests together.

Change: a large body is reserved before a byte of it is read (policy/body_memory): three quarters of the settings' memory less what the process uses otherwise. Without room the connection is not read, for half a second at most; then 503 with Retry-After, or 413 at once for a body that never has room. Bodies without a length are reserved as they arrive. Windows at an owner and held answers are parts of the memory too. Metrics and events 507 and 508 say who sent what. A caller that is refused in the middle of its body is read on, so that the answer is not lost in a reset.

--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -52,6 +52,8 @@
     { Event::OverloadEnded, "overload-ended", "no request was rejected for lack of capacity for some time", "none", 0 },
     { Event::RequestBlocked, "request-blocked", "upstreams ended while they ran this request, and this node sends it to no other one for some time; the text has its digest", "see OPERATIONS, a request that ends upstreams", 1 },
     { Event::RequestUnblocked, "request-unblocked", "an upstream has answered a request that was blocked", "none", 0 },
+    { Event::BodyWaits, "body-waits", "a large request body waits unread, because others and answers hold this node's memory; the text names the caller, the request and the size", "see OPERATIONS, large request bodies", 0 },
+    { Event::BodyRefused, "body-refused", "a request was refused because this node has no memory for its body; the text names the caller, the request and the size", "see OPERATIONS, large request bodies", 1 },
     { Event::RequestSent, "request-sent", "a caller's request was sent to this upstream, for these reasons", "none", 0 },
     { Event::RequestAnswered, "request-answered", "the caller got an upstream's complete answer", "none", 0 },
     { Event::RequestRefused, "request-refused", "the caller was informed that its request has not run, and why", "see OPERATIONS, refused under load", 1 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -62,6 +62,8 @@
     OverloadEnded = 504,
     RequestBlocked = 505,
     RequestUnblocked = 506,
+    BodyWaits = 507,
+    BodyRefused = 508,
     RequestSent = 511,
     RequestAnswered = 512,
     RequestRefused = 513,
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -1,6 +1,8 @@
 // Lifecycle of a caller's connection, and writing of answers.
 #include "appletally/http/caller_connection.h"
 
+#include "appletally/base/log.h"
+
 #include <algorithm>
 #include <linux/sockios.h>
 #include <netinet/in.h>
@@ -9,6 +11,7 @@
 #include <optional>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace appletally::http {
 
@@ -59,7 +62,7 @@
     if (m_headSent)
         return evbuffer_get_length(bufferevent_get_output(m_connection->buffers));
     const CallerListener& listener = m_connection->listener;
-    return listener.m_heldBytes < listener.m_limits.maxHeldBytes ? 0 : evbuffer_get_length(m_heldOutput);
+    return listener.m_heldBytes < listener.maxHeldBytes() ? 0 : evbuffer_get_length(m_heldOutput);
 }
 
 bool CallerExchange::mayEndConnection() const { return m_streaming || m_isHttp10 || !m_callerKeepsAlive; }
@@ -196,6 +199,8 @@
         return readRequests();
     evbuffer* in = bufferevent_get_input(buffers);
     evbuffer_drain(in, evbuffer_get_length(in));
+    if (closing == Closing::Lingering && lastBacklog == 0)
+        phaseStart = base::steadyNow(); // it still sends a rejected body, and has yet to read the answer
 }
 
 void CallerConnection::onWritten()
@@ -222,7 +227,7 @@
     if (reading)
         return;
     reading = true;
-    while (!dropped && closing == Closing::No && queue.size() < maxPipelinedRequests && readStep()) { }
+    while (!dropped && closing == Closing::No && waitingForBytes == 0 && queue.size() < maxPipelinedRequests && readStep()) { }
     reading = false;
 }
 
@@ -291,10 +296,15 @@
     incomingBody.reset();
     if (reader.head.length > static_cast<int64_t>(listener.m_limits.maxSmallBodyBytes)) {
         const auto length = static_cast<uint64_t>(reader.head.length);
-        if (!beginLargeBody(length, length))
+        if (!reserveDeclaredBody(length) || !beginLargeBody(length, length))
             return;
     }
-    const std::string* expects = findHeader(request.headers, "Expect");
+    sendContinue();
+}
+
+void CallerConnection::sendContinue()
+{
+    const std::string* expects = findHeader(incoming->m_request.headers, "Expect");
     if (expects && hasToken(*expects, "100-continue") && queue.empty() && !reader.messageEnded)
         evbuffer_add_printf(bufferevent_get_output(buffers), "HTTP/1.1 100 Continue\r\n\r\n");
 }
@@ -322,19 +332,74 @@
 
 bool CallerConnection::beginLargeBody(uint64_t capacity, uint64_t reserved)
 {
-    if (listener.reserveBody(reserved) == policy::BodyRoom::Free)
-        incomingBody = LargeBody::make(listener.m_bodyMemory, capacity, reserved);
+    incomingBody = LargeBody::make(listener.m_bodyMemory, capacity, reserved);
     if (!incomingBody)
-        reject(Code::NoBodyMemory, "no memory for the body");
+        refuseBody("no memory for the body");
     return incomingBody != nullptr;
 }
 
+bool CallerConnection::reserveDeclaredBody(uint64_t bytes)
+{
+    switch (listener.reserveBody(bytes)) {
+    case policy::BodyRoom::Free:
+        return true;
+    case policy::BodyRoom::Never:
+        base::logEvent(base::Event::BodyRefused, describeIncoming(bytes));
+        reject(Code::BodyTooLarge, "body larger than this node has memory for");
+        return false;
+    case policy::BodyRoom::Later:
+        break;
+    }
+    ++listener.m_counts.waitedForMemory;
+    base::logEvent(base::Event::BodyWaits, describeIncoming(bytes));
+    waitingForBytes = bytes;
+    phaseStart = base::steadyNow();
+    bufferevent_disable(buffers, EV_READ);
+    listener.m_waitingBodies.push_back(this);
+    return false;
+}
+
+void CallerConnection::resumeBody()
+{
+    const uint64_t bytes = std::exchange(waitingForBytes, 0);
+    phaseStart = base::steadyNow();
+    if (!beginLargeBody(bytes, bytes))
+        return;
+    bufferevent_enable(buffers, EV_READ);
+    sendContinue();
+    readRequests();
+}
+
+// The length of a body in chunks is not known, so that it cannot wait for its end: several could wait for each other.
+void CallerConnection::refuseBody(const std::string& why)
+{
+    constexpr Duration othersEnd { 1000 };
+    ++listener.m_counts.noBodyMemory;
+    base::logEvent(base::Event::BodyRefused, describeIncoming(std::max(waitingForBytes, reader.bodyBytes)));
+    stopWaitingForMemory();
+    reject(Code::NoBodyMemory, why, othersEnd);
+}
+
+void CallerConnection::stopWaitingForMemory()
+{
+    if (waitingForBytes == 0)
+        return;
+    waitingForBytes = 0;
+    std::erase(listener.m_waitingBodies, this);
+    bufferevent_enable(buffers, EV_READ);
+}
+
+std::string CallerConnection::describeIncoming(uint64_t bytes) const
+{
+    return peerIp + ": " + incoming->m_request.method + " " + incoming->m_request.path + " with " + std::to_string(bytes) + " bytes";
+}
+
 bool CallerConnection::addLargeBody(evbuffer* buf)
 {
     constexpr uint64_t reservedStep = 1024 * 1024; // of a body whose length is not known
     while (incomingBody->reserved() < incomingBody->size() + evbuffer_get_length(buf)) {
         if (listener.reserveBody(reservedStep) != policy::BodyRoom::Free) {
-            reject(Code::NoBodyMemory, "no memory for the rest of the body");
+            refuseBody("no memory for the rest of the body");
             return false;
         }
         incomingBody->addReserved(reservedStep);
@@ -343,11 +408,12 @@
 }
 
 // The rejected request is queued, so that the answers before it are still sent first.
-void CallerConnection::reject(Code code, const std::string& text)
+void CallerConnection::reject(Code code, const std::string& text, Duration retryAfter)
 {
     if (closing != Closing::No)
         return;
-    ++(code == Code::RequestMalformed ? listener.m_counts.malformed : (code == Code::CallerTooSlow ? listener.m_counts.tooSlow : listener.m_counts.tooLarge));
+    if (code != Code::NoBodyMemory)
+        ++(code == Code::RequestMalformed ? listener.m_counts.malformed : (code == Code::CallerTooSlow ? listener.m_counts.tooSlow : listener.m_counts.tooLarge));
     if (!incoming) {
         incoming.reset(new CallerExchange);
         incoming->m_connection = this;
@@ -361,8 +427,11 @@
     phaseStart = base::steadyNow();
     CallerExchange* it = incoming.get();
     queue.push_back(std::move(incoming));
-    const base::Error error = base::fail(code, text);
-    it->reply(base::info(code).httpStatus, { { "Content-Type", "application/json" }, { "Appletally-Result", std::to_string(static_cast<int>(code)) } }, errorBody(error, true));
+    const base::Error error = base::fail(code, text, retryAfter);
+    std::vector<HeaderField> headers { { "Content-Type", "application/json" }, { "Appletally-Result", std::to_string(static_cast<int>(code)) } };
+    if (retryAfter > Duration {})
+        headers.push_back({ "Retry-After", std::to_string((retryAfter.ms + 999) / 1000) });
+    it->reply(base::info(code).httpStatus, headers, errorBody(error, true));
 }
 
 void CallerConnection::startQueued()
@@ -373,7 +442,7 @@
             return;
         if (it.m_started)
             continue;
-        const bool memoryIsShort = listener.m_heldBytes >= listener.m_limits.maxHeldBytes;
+        const bool memoryIsShort = listener.m_heldBytes >= listener.maxHeldBytes();
         if (n > 0 && (listener.m_acceptingStopped || memoryIsShort || !listener.m_hooks.mayOverlap(it.m_request)))
             return; // nor may the requests after it start: they may depend on it
         it.m_started = true;
@@ -450,7 +519,7 @@
         if (it.m_head.empty())
             return; // not answered yet
         if (mustHoldBack(it)) {
-            if (listener.m_heldBytes < listener.m_limits.maxHeldBytes)
+            if (listener.m_heldBytes < listener.maxHeldBytes())
                 return;
             ++listener.m_counts.sentUnprotected;
         }
@@ -479,7 +548,7 @@
 void CallerConnection::startLinger()
 {
     closing = Closing::Lingering;
-    phaseStart = base::steadyNow();
+    lingerStart = phaseStart = base::steadyNow();
     ::shutdown(bufferevent_getfd(buffers), SHUT_WR);
 }
 
@@ -488,6 +557,7 @@
     if (dropped)
         return;
     dropped = true;
+    stopWaitingForMemory();
     if (reader.inMessage || !queue.empty())
         ++listener.m_counts.closedEarly;
     while (!queue.empty()) {
@@ -522,8 +592,10 @@
     if (backlog < lastBacklog)
         phaseStart = now;
     lastBacklog = backlog;
+    if (waitingForBytes > 0)
+        return now - phaseStart > limits.bodyWaitTimeout;
     if (closing == Closing::Lingering)
-        return now - phaseStart > (backlog > 0 || !inSystem ? limits.stallTimeout : lingerTimeout);
+        return now - lingerStart > limits.receiveTimeout + limits.stallTimeout || now - phaseStart > (backlog > 0 || !inSystem ? limits.stallTimeout : lingerTimeout);
     if (backlog > 0)
         return now - phaseStart > limits.stallTimeout;
     if (!queue.empty())
--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -28,9 +28,15 @@
     bool readStep(); // false: wait for more bytes
     void beginRequest();
     bool beginLargeBody(uint64_t capacity, uint64_t reserved); // false: the request was rejected
+    bool reserveDeclaredBody(uint64_t bytes); // false: it waits for memory, or was rejected
+    void resumeBody(); // `waitingForBytes` are reserved now
+    void refuseBody(const std::string& why);
+    void stopWaitingForMemory();
+    void sendContinue(); // if the caller expects it before it sends the body
+    std::string describeIncoming(uint64_t bytes) const;
     void addBody(evbuffer*);
     bool addLargeBody(evbuffer*); // false: the request was rejected
-    void reject(base::Code, const std::string& text); // answers with an error and closes
+    void reject(base::Code, const std::string& text, base::Duration retryAfter = {}); // answers with an error and closes
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
     void onNewFront(); // the exchange at the front has changed; its answer may have begun already
@@ -53,9 +59,11 @@
     std::unique_ptr<CallerExchange> incoming; // the exchange whose head or body is still being received
     std::deque<std::unique_ptr<CallerExchange>> queue; // complete requests, oldest first; only the answer at the front is written
     size_t bodyLimit = 0;
+    uint64_t waitingForBytes = 0; // of the large body of `incoming`, for which there is no memory yet; nothing is read meanwhile
     Closing closing = Closing::No;
     bool dropped = false;
     bool reading = false; // inside readRequests()
+    base::Time lingerStart; // with Closing::Lingering
     base::Time phaseStart; // start of the current receive, idle, linger or stall period
     size_t lastBacklog = 0;
 };
--- a/src/appletally/http/caller_listener.cpp
+++ b/src/appletally/http/caller_listener.cpp
@@ -4,6 +4,7 @@
 #include "appletally/base/loop_time.h"
 #include "appletally/http/caller_connection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -77,7 +78,28 @@
     ++m_counts.connections;
 }
 
-policy::BodyRoom CallerListener::reserveBody(uint64_t bytes) { return policy::reserveBody(*m_bodyMemory, bytes, 0); }
+policy::BodyRoom CallerListener::reserveBody(uint64_t bytes)
+{
+    m_bodyMemory->processBytes = m_limits.memoryBytes;
+    return policy::reserveBody(*m_bodyMemory, bytes, m_limits.memoryBytes > 0 ? residentBytes() : 0);
+}
+
+size_t CallerListener::maxHeldBytes() const
+{
+    const uint64_t share = m_limits.memoryBytes / 8;
+    return m_limits.memoryBytes > 0 ? std::min<uint64_t>(m_limits.maxHeldBytes, share) : m_limits.maxHeldBytes;
+}
+
+void CallerListener::resumeWaitingBodies()
+{
+    while (!m_waitingBodies.empty()) {
+        CallerConnection* it = m_waitingBodies.front();
+        if (reserveBody(it->waitingForBytes) != policy::BodyRoom::Free)
+            return;
+        m_waitingBodies.pop_front();
+        it->resumeBody();
+    }
+}
 
 void CallerListener::setLimits(const ListenerLimits& limits) { m_limits = limits; }
 
@@ -116,18 +138,24 @@
     for (CallerConnection* it : all) {
         if (!m_connections.contains(it) || !it->timedOut(now))
             continue;
+        if (it->waitingForBytes > 0) {
+            it->refuseBody("no memory for the body became free in time");
+            continue;
+        }
         const bool halfRequest = it->closing == Closing::No && it->queue.empty() && it->reader.inMessage;
         if (halfRequest)
             it->reject(Code::CallerTooSlow, "request not received within the time limit");
         else
             it->drop();
     }
+    resumeWaitingBodies();
 }
 
 void CallerListener::deleteClosed()
 {
     m_endedExchanges.clear();
     m_closedConnections.clear();
+    resumeWaitingBodies();
 }
 
 } // namespace appletally::http
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -16,6 +16,9 @@
 // started behind a streamed answer, and one that already has running requests behind it is held back until it is complete.
 // A held answer that breaks is taken back, and its request is retried or answered with a failure.
 //
+// A large body is read only once there is memory for all of it (policy/body_memory.h). Until then its connection is not read,
+// so that TCP pauses the caller, and after `bodyWaitTimeout` the request is refused. Small bodies never wait.
+//
 // All held answers together are limited to `maxHeldBytes`. Above it nothing is started behind others, held streams pause,
 // and a stream that is due is sent although requests run behind it (`sentUnprotected`).
 #pragma once
@@ -26,6 +29,7 @@
 #include "appletally/http/header.h"
 #include "appletally/http/large_body.h"
 
+#include <deque>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <functional>
@@ -42,6 +46,8 @@
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
     size_t maxSmallBodyBytes = 256 * 1024; // a larger body is kept once, and passed on in parts
+    uint64_t memoryBytes = 0; // that the process may use; bounds large bodies and held answers. 0: not bounded
+    base::Duration bodyWaitTimeout { 500 }; // for memory; then the request is refused
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
     size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; see the head comment for what happens above it
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
@@ -56,6 +62,8 @@
     uint64_t malformed = 0;
     uint64_t tooLarge = 0;
     uint64_t tooSlow = 0;
+    uint64_t noBodyMemory = 0;
+    uint64_t waitedForMemory = 0; // large bodies that were not read at once
     uint64_t closedEarly = 0; // connections that ended before the answer was written
     uint64_t rejected = 0; // connections over maxConnections
     uint64_t takenBack = 0; // broken answers of which nothing had been sent
@@ -151,12 +159,16 @@
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
     size_t heldBytes() const { return m_heldBytes; } // of answers that wait behind others
+    const policy::BodyMemory& bodyMemory() const { return *m_bodyMemory; }
+    size_t waitingBodies() const { return m_waitingBodies.size(); }
 
 private:
     friend struct CallerConnection;
     friend class CallerExchange;
     void accept(evutil_socket_t, const std::string& peerIp);
     policy::BodyRoom reserveBody(uint64_t bytes);
+    size_t maxHeldBytes() const;
+    void resumeWaitingBodies(); // those for which there is memory now, in the order of their arrival
     void closeIdleNow();
     void sweep();
     void deleteClosed(); // deletes objects that ended inside their own callbacks
@@ -173,6 +185,7 @@
     std::vector<std::unique_ptr<CallerExchange>> m_endedExchanges;
     ListenerCounts m_counts;
     std::shared_ptr<policy::BodyMemory> m_bodyMemory; // of large bodies, which may outlive their exchanges
+    std::deque<CallerConnection*> m_waitingBodies; // connections whose request waits for memory
     size_t m_heldBytes = 0; // of all exchanges
     bool m_draining = false;
     bool m_acceptingStopped = false;
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -162,6 +162,11 @@
     count("appletally_caller_refusals_total", "reason=\"too_large\"", in.tooLarge);
     count("appletally_caller_refusals_total", "reason=\"too_slow\"", in.tooSlow);
     count("appletally_caller_refusals_total", "reason=\"too_many_connections\"", in.rejected);
+    count("appletally_caller_refusals_total", "reason=\"no_body_memory\"", in.noBodyMemory);
+    count("appletally_caller_bodies_waited_total", "", in.waitedForMemory);
+    count("appletally_caller_bodies_waiting", "", m_listener.waitingBodies());
+    count("appletally_caller_body_bytes", "stage=\"reserved\"", m_listener.bodyMemory().reserved);
+    count("appletally_caller_body_bytes", "stage=\"received\"", m_listener.bodyMemory().received);
     count("appletally_caller_broken_answers_total", "end=\"taken_back\"", in.takenBack);
     count("appletally_caller_broken_answers_total", "end=\"aborted\"", in.abortedAnswers);
     count("appletally_caller_answers_lost_behind_broken_total", "", in.lostBehindAborted);
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -31,6 +31,13 @@
     return { static_cast<uint64_t>(base::wallNow().ms) << 16 | (inner::randomNumber() & 0xffff) };
 }
 
+static http::ListenerLimits limitsOf(const NodeSettings& settings)
+{
+    http::ListenerLimits out = settings.limits;
+    out.memoryBytes = settings.memoryBytes;
+    return out;
+}
+
 Node::Node(event_base* loop, NodeSettings settings, base::Channel<inner::ToNode>& fromControl, ToControl toControl)
     : m_loop(loop)
     , m_settings(std::move(settings))
@@ -44,14 +51,14 @@
               [this](const std::vector<config::SuspectRequest>& told) { onSuspectRequestsTold(told); },
               [this](const base::HostId& host) { m_ingress.onSuspected(host); } })
     , m_claims(loop, m_settings.membership.host, m_incarnation, m_peers)
-    , m_owner(loop, { m_settings.membership.host, m_settings.zone, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout }, m_claims, m_suspectRequests,
+    , m_owner(loop, { m_settings.membership.host, m_settings.zone, m_incarnation, m_settings.dialect, m_settings.features, m_settings.admission, m_settings.announcementTimeout, m_settings.memoryBytes }, m_claims, m_suspectRequests,
           { [this] { announceEndpoint(); }, [this](const policy::Load& load) {
                m_ownerLinks.broadcastLoad(load);
                m_ingress.onLoadReported(m_settings.membership.host, load); } })
     , m_ownerLinks(
           loop, m_settings.membership, m_owner, [this](const base::HostId&, const std::string& body, const OwnerLinks::Answer& answer) { answer(m_claims.receive(body)); },
           [this](const std::vector<config::SuspectRequest>& told) { onSuspectRequestsTold(told); })
-    , m_ingress(loop, { m_settings.membership.host, m_settings.zone, m_settings.service, m_settings.limits, m_settings.dialect, m_settings.features }, m_owner, m_peers, m_claims, m_suspectRequests)
+    , m_ingress(loop, { m_settings.membership.host, m_settings.zone, m_settings.service, limitsOf(m_settings), m_settings.dialect, m_settings.features }, m_owner, m_peers, m_claims, m_suspectRequests)
     , m_announcePort(loop, [this](const Announcement& it) { m_owner.announce(it); })
 {
     m_controlReadable = event_new(
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -50,6 +50,7 @@
     CallFeatures features;
     policy::AdmissionOptions admission;
     base::Duration announcementTimeout;
+    uint64_t memoryBytes = 0; // that this process may use; 0: not bounded
 };
 
 struct OwnerCounts {
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -4,6 +4,7 @@
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
 #include "appletally/node/request_digest.h"
+#include "appletally/policy/body_memory.h"
 #include "appletally/policy/retry.h"
 
 #include <algorithm>
@@ -183,6 +184,7 @@
     out.target = it.call.target;
     out.body = std::move(it.call.body);
     out.bodyLength = it.call.bodyBytes;
+    out.bodyWindow = policy::bodyWindow(m_settings.memoryBytes, m_upstream->slots, bodyWindowBytes);
     out.idempotent = it.call.idempotent;
     const std::string* named = http::findHeader(it.call.headers, "Connection"); // lists fields that apply to the caller's connection only
     for (const http::HeaderField& field : it.call.headers) {
--- a/src/appletally/node/settings.cpp
+++ b/src/appletally/node/settings.cpp
@@ -6,6 +6,8 @@
 using base::Code;
 using base::Duration;
 
+constexpr uint64_t bytesPerMb = 1'000'000;
+
 static std::vector<base::Address> addresses(base::JsonReader& reader, const std::string& key)
 {
     std::vector<base::Address> out;
@@ -68,6 +70,7 @@
         out.sources = out.voters;
     if (top.has("limits"))
         readLimits(top.object("limits"), out.limits);
+    out.memoryBytes = static_cast<uint64_t>(top.integer("memory_mb", 32, 1'000'000, static_cast<int64_t>(out.memoryBytes / bytesPerMb))) * bytesPerMb;
     out.drainTime = top.duration("drain_ms", Duration { 0 }, Duration { 60000 }, out.drainTime);
     out.gracefulShutdownTimeout = top.duration("stop_bound_ms", Duration { 100 }, Duration { 600000 }, out.gracefulShutdownTimeout);
     out.minSeverity = static_cast<base::Severity>(top.choice("log", { "info", "warning", "error" }, 0));
--- a/src/appletally/node/settings.h
+++ b/src/appletally/node/settings.h
@@ -23,6 +23,7 @@
     base::Address operators; // state dump
     std::vector<base::Address> voters;
     std::vector<base::Address> sources; // of configuration; empty: the voters
+    uint64_t memoryBytes = 512'000'000; // that this process may use; large request bodies are bounded by it
     http::ListenerLimits limits;
     Dialect dialect;
     CallFeatures features;
--- a/tests/large_body_test.cpp
+++ b/tests/large_body_test.cpp
@@ -190,3 +190,106 @@
     CHECK(evbuffer_get_length(out) == 0);
     evbuffer_free(out);
 }
+
+namespace {
+
+using policy::BodyRoom;
+
+constexpr uint64_t megabyte = 1'000'000;
+constexpr uint64_t idleBytes = 15 * megabyte;
+
+} // namespace
+
+TEST_CASE("bodies reserve no more memory than the process has beside its other use", "[policy][large-body]")
+{
+    // Guards against a process that is killed over its memory limit because of the bodies of a few callers.
+    policy::BodyMemory it;
+    it.processBytes = 110 * megabyte;
+    CHECK(policy::reserveBody(it, 60 * megabyte, idleBytes) == BodyRoom::Free);
+    CHECK(policy::reserveBody(it, 60 * megabyte, idleBytes) == BodyRoom::Later);
+    it.received = 60 * megabyte;
+    CHECK(policy::reserveBody(it, 7 * megabyte, idleBytes + it.received) == BodyRoom::Free);
+    CHECK(policy::reserveBody(it, megabyte, idleBytes + it.received) == BodyRoom::Later);
+    policy::releaseBody(it, 60 * megabyte, 60 * megabyte);
+    CHECK(policy::reserveBody(it, 60 * megabyte, idleBytes) == BodyRoom::Free);
+    CHECK(policy::reserveBody(it, 70 * megabyte, idleBytes) == BodyRoom::Never);
+}
+
+TEST_CASE("answers and buffers that use memory now delay bodies, and make none impossible", "[policy][large-body]")
+{
+    policy::BodyMemory it;
+    it.processBytes = 88 * megabyte;
+    CHECK(policy::reserveBody(it, megabyte, idleBytes) == BodyRoom::Free);
+    CHECK(policy::reserveBody(it, 40 * megabyte, 50 * megabyte) == BodyRoom::Later);
+    CHECK(policy::reserveBody(it, 40 * megabyte, idleBytes) == BodyRoom::Free);
+}
+
+TEST_CASE("windows of all slots together are a small part of the process's memory", "[policy][large-body]")
+{
+    for (const uint64_t memory : { 88 * megabyte, 260 * megabyte }) {
+        for (const int slots : { 1, 10, 100 }) {
+            const uint64_t window = policy::bodyWindow(memory, slots, node::bodyWindowBytes);
+            CHECK(window * static_cast<uint64_t>(slots) <= memory / 16);
+            CHECK(window >= 16 * 1024);
+        }
+    }
+}
+
+namespace {
+
+// A caller's node with memory for `bytes` of bodies beside what this process uses.
+struct SmallMesh : UploadMesh {
+    explicit SmallMesh(uint64_t bytes)
+    {
+        mesh.memoryBytes = (http::residentBytes() + bytes) / 3 * 4;
+        b = &mesh.addNode("small", "z2");
+        start();
+    }
+
+    double metric(const std::string& name) const
+    {
+        const std::string text = b->node->metrics();
+        const size_t at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+    }
+};
+
+std::string declared(uint64_t bytes) { return rawPost("Content-Length: " + std::to_string(bytes)); }
+
+} // namespace
+
+TEST_CASE("a large body waits unread until there is memory for it", "[node][large-body]")
+{
+    // Guards against bodies that together take the process over its limit, and against refusing one that could run a moment later.
+    SmallMesh it(24 * megabyte);
+    const auto first = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 0; }));
+    const auto second = it.mesh.askRaw(it.b->addresses.callers, rawPost("Expect: 100-continue\r\nContent-Length: " + std::to_string(16 * megabyte)));
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_bodies_waiting") == 1; }));
+    const auto small = it.post(*it.b, bytesOf(24'000), "small");
+    REQUIRE(it.mesh.run([&] { return small->done; }));
+    CHECK(small->status == 200);
+    CHECK(second->body.empty());
+    it.mesh.closeRaw(0);
+    REQUIRE(it.mesh.run([&] { return hasStatus(*second, "100"); }));
+    it.mesh.sendMore(bytesOf(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return hasStatus(*second, "200"); }));
+    CHECK(it.upstream.lastBody.size() == 16 * megabyte);
+    CHECK(it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") == 0);
+}
+
+TEST_CASE("a large body for which no memory becomes free is refused as not run, with a time to return", "[node][large-body]")
+{
+    SmallMesh it(24 * megabyte);
+    const auto first = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 0; }));
+    const auto second = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return hasStatus(*second, "503"); }));
+    CHECK(second->body.find("Appletally-Result: 421") != std::string::npos);
+    CHECK(second->body.find("Retry-After: 1\r\n") != std::string::npos);
+    const auto chunked = it.mesh.askRaw(it.b->addresses.callers, rawPost("Transfer-Encoding: chunked") + "c35000\r\n" + bytesOf(12'800'000)); // in hexadecimal
+    REQUIRE(it.mesh.run([&] { return hasStatus(*chunked, "503"); }));
+    const auto impossible = it.mesh.askRaw(it.b->addresses.callers, declared(63 * megabyte));
+    REQUIRE(it.mesh.run([&] { return hasStatus(*impossible, "413"); }));
+    CHECK(it.upstream.runs == 0);
+}
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -130,6 +130,7 @@
     settings.region = { "r" };
     settings.callers = settings.inner = settings.announce = settings.operators = base::parseAddress(anyPort).value();
     settings.limits = limits;
+    settings.memoryBytes = memoryBytes;
     settings.drainTime = { 100 };
     settings.gracefulShutdownTimeout = gracefulShutdownTimeout;
     auto& it = m_nodes[host];
@@ -280,6 +281,12 @@
     return answer;
 }
 
+void TestMesh::closeRaw(size_t number)
+{
+    bufferevent_free(m_raw[number]);
+    m_raw.erase(m_raw.begin() + static_cast<std::ptrdiff_t>(number));
+}
+
 void TestMesh::sendMore(const std::string& bytes) { bufferevent_write(m_raw.back(), bytes.data(), bytes.size()); }
 
 void TestMesh::runFor(base::Duration time)
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -84,6 +84,7 @@
     // Sends raw bytes and collects the answer until the peer closes the connection.
     std::shared_ptr<TestAnswer> askRaw(const appletally::base::Address&, const std::string& bytes);
     void sendMore(const std::string& bytes); // on the connection of the last askRaw()
+    void closeRaw(size_t number); // the connection of that askRaw(), counted from 0
 
     // Runs the loop until `done` returns true. Returns false after five seconds, on which tests fail.
     bool run(const std::function<bool()>& done);
@@ -91,6 +92,7 @@
     event_base* loop() { return m_loop; }
     std::map<std::string, std::unique_ptr<TestNode>>& nodes() { return m_nodes; }
     appletally::http::ListenerLimits limits;
+    uint64_t memoryBytes = 0; // of nodes added from now on; 0: not bounded
     appletally::base::Duration gracefulShutdownTimeout { 30000 }; // of nodes added from now on
     TestRollout rollout;
     std::set<appletally::base::ZoneName> evacuatedZones; // in the next snapshot
