The leaving of an upstream is acknowledged once another process keeps it

Cause: what the node knows of a leaving was in the memory of the process that acknowledged it. The next process took any well-formed heartbeat for news.

Change: the endpoint record names the last upstream process that left (id, start, and the sequence up to which its messages are void). A leaving is acknowledged when a control process has confirmed the record, and answered 503 if none does within 0.85 s; it is in force at once in any case. The node's next process reads its own host's record before it takes a heartbeat for news. Where control is silent it waits for a second heartbeat of the same start.

Why it works: the acknowledgement is now given only when what it says outlives the process, and no process acts on a heartbeat before it has asked for what outlived the one before.

--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -54,6 +54,8 @@
     UpstreamWarm = 412,
     UpstreamEnded = 413,
     MessageNotSent = 414,
+    LeavingNotHeld = 415,
+    HeartbeatDelayed = 416,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/config/endpoint.h
+++ b/src/appletally/config/endpoint.h
@@ -8,6 +8,10 @@
 #include "appletally/base/ids.h"
 #include "appletally/config/suspect_request.h"
 
+#include <optional>
+#include <string>
+#include <vector>
+
 namespace appletally::config {
 
 enum class EndpointState : uint8_t {
@@ -17,6 +21,17 @@
     Gone,
 };
 
+// An upstream process of which its node has acknowledged that it leaves. Other processes keep it, because the node's next
+// process may receive messages that the upstream sent before.
+struct LeavingUpstream {
+    std::string id;
+    uint64_t startedAtMs = 0; // 0: not known
+    uint64_t sequence = 0; // of its message; earlier ones of the same start are void
+    bool operator==(const LeavingUpstream&) const = default;
+};
+
+constexpr uint64_t afterAllMessages = UINT64_MAX; // LeavingUpstream::sequence of one that has deregistered
+
 struct Endpoint {
     base::HostId host; // key: one upstream per host
     base::ServiceName service;
@@ -29,6 +44,7 @@
     base::Incarnation incarnation; // start of the node that writes the record
     base::Sequence sequence; // numbers that node's records
     std::vector<SuspectRequest> suspects; // as this host has seen or acquitted them; bounded, empty in calm
+    std::optional<LeavingUpstream> leaving; // the last one at this host; kept while its successor runs
 };
 
 // How long a record lives without renewal, and how often it is renewed. Up to three renewals may be lost. Other nodes
--- a/src/appletally/control/distributor.cpp
+++ b/src/appletally/control/distributor.cpp
@@ -317,6 +317,7 @@
     out.delta = config::changesSince(m_endpoints, cursor, nullptr, maxRecordsPerMessage);
     out.records = out.delta.endpoints.size();
     out.suspects = inner::suspectsOf(out.delta.endpoints);
+    out.leaving = inner::leavingOf(out.delta.endpoints);
     out.bytes = config::encode(std::exchange(out.delta.endpoints, {}));
     out.compressed = out.bytes.size() >= minBytesToCompress;
     if (out.compressed)
@@ -344,6 +345,8 @@
     out.setCompressed(next.compressed);
     if (!next.suspects.empty())
         inner::write(out.initSuspects(static_cast<kj::uint>(next.suspects.size())), next.suspects);
+    if (!next.leaving.empty())
+        inner::write(out.initLeaving(static_cast<kj::uint>(next.leaving.size())), next.leaving);
     it.endpointsBusy = true;
     m_tasks.add(request.send().then([this, id](auto&& answer) {
         auto found = m_subscribers.find(id);
--- a/src/appletally/control/distributor.h
+++ b/src/appletally/control/distributor.h
@@ -135,6 +135,7 @@
     struct EndpointBatch {
         config::EndpointsDelta delta; // without its endpoints, which are encoded in `bytes`
         std::vector<inner::HostSuspects> suspects; // of these endpoints
+        std::vector<inner::HostLeaving> leaving;
         size_t records = 0;
         std::string bytes;
         bool compressed = false;
--- a/src/appletally/inner/control.capnp
+++ b/src/appletally/inner/control.capnp
@@ -50,6 +50,19 @@
   sequence @10 :UInt64;
   beat @11 :UInt64;         # heartbeat number within the sequence; 0: forwarded by another process
   suspects @12 :List(Link.SuspectRequest);
+  leaving @13 :Leaving;     # absent: none
+}
+
+# An upstream process of which its node has acknowledged that it leaves: config::LeavingUpstream.
+struct Leaving {
+  id @0 :Text;
+  startedAtMs @1 :UInt64;
+  sequence @2 :UInt64;
+}
+
+struct HostLeaving {
+  host @0 :Text;
+  leaving @1 :Leaving;
 }
 
 struct HostSuspects {
@@ -80,6 +93,7 @@
   endpoints @4 :Data;       # a list, encoded by the codec of config/
   compressed @5 :Bool;      # with zstd
   suspects @6 :List(HostSuspects); # of those endpoints that have any
+  leaving @7 :List(HostLeaving);   # likewise
 }
 
 struct Evidence {
--- a/src/appletally/inner/control.capnp.h
+++ b/src/appletally/inner/control.capnp.h
@@ -38,6 +38,8 @@
 CAPNP_DECLARE_SCHEMA(ce018f9deeb7983f);
 CAPNP_DECLARE_SCHEMA(ff27207860f77f0b);
 CAPNP_DECLARE_SCHEMA(c825120bb4bb4d41);
+CAPNP_DECLARE_SCHEMA(c730b18ac1f16dd7);
+CAPNP_DECLARE_SCHEMA(adbcd8069ef5108b);
 CAPNP_DECLARE_SCHEMA(8c900615285b5bda);
 CAPNP_DECLARE_SCHEMA(a7cf4a5536890552);
 CAPNP_DECLARE_SCHEMA(b955abefe2caf509);
@@ -264,7 +266,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c825120bb4bb4d41, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(c825120bb4bb4d41, 4, 8)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Leaving {
+  Leaving() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c730b18ac1f16dd7, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HostLeaving {
+  HostLeaving() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(adbcd8069ef5108b, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -324,7 +356,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b03162553b42549a, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b03162553b42549a, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1860,6 +1892,9 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool hasLeaving() const;
+  inline  ::appletally::inner::rpc::Leaving::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1955,6 +1990,13 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::wire::SuspectRequest,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool hasLeaving();
+  inline  ::appletally::inner::rpc::Leaving::Builder getLeaving();
+  inline void setLeaving( ::appletally::inner::rpc::Leaving::Reader value);
+  inline  ::appletally::inner::rpc::Leaving::Builder initLeaving();
+  inline void adoptLeaving(::capnp::Orphan< ::appletally::inner::rpc::Leaving>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::rpc::Leaving> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1973,6 +2015,190 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::appletally::inner::rpc::Leaving::Pipeline getLeaving();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Leaving::Reader {
+public:
+  typedef Leaving Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getStartedAtMs() const;
+
+  inline  ::uint64_t getSequence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Leaving::Builder {
+public:
+  typedef Leaving Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getStartedAtMs();
+  inline void setStartedAtMs( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Leaving::Pipeline {
+public:
+  typedef Leaving Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HostLeaving::Reader {
+public:
+  typedef HostLeaving Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasLeaving() const;
+  inline  ::appletally::inner::rpc::Leaving::Reader getLeaving() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HostLeaving::Builder {
+public:
+  typedef HostLeaving Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasLeaving();
+  inline  ::appletally::inner::rpc::Leaving::Builder getLeaving();
+  inline void setLeaving( ::appletally::inner::rpc::Leaving::Reader value);
+  inline  ::appletally::inner::rpc::Leaving::Builder initLeaving();
+  inline void adoptLeaving(::capnp::Orphan< ::appletally::inner::rpc::Leaving>&& value);
+  inline ::capnp::Orphan< ::appletally::inner::rpc::Leaving> disownLeaving();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HostLeaving::Pipeline {
+public:
+  typedef HostLeaving Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::appletally::inner::rpc::Leaving::Pipeline getLeaving();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2289,6 +2515,9 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>::Reader getSuspects() const;
 
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2354,6 +2583,13 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostSuspects,  ::capnp::Kind::STRUCT>> disownSuspects();
 
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6774,6 +7010,180 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool Endpoint::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool Endpoint::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::rpc::Leaving::Reader Endpoint::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::rpc::Leaving::Builder Endpoint::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::appletally::inner::rpc::Leaving::Pipeline Endpoint::Pipeline::getLeaving() {
+  return  ::appletally::inner::rpc::Leaving::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void Endpoint::Builder::setLeaving( ::appletally::inner::rpc::Leaving::Reader value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::rpc::Leaving::Builder Endpoint::Builder::initLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void Endpoint::Builder::adoptLeaving(
+    ::capnp::Orphan< ::appletally::inner::rpc::Leaving>&& value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::rpc::Leaving> Endpoint::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool Leaving::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Leaving::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Leaving::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Leaving::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Leaving::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Leaving::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Leaving::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Leaving::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Leaving::Reader::getStartedAtMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Leaving::Builder::getStartedAtMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Leaving::Builder::setStartedAtMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Leaving::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Leaving::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Leaving::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostLeaving::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostLeaving::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostLeaving::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostLeaving::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostLeaving::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostLeaving::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HostLeaving::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HostLeaving::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HostLeaving::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostLeaving::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::appletally::inner::rpc::Leaving::Reader HostLeaving::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::appletally::inner::rpc::Leaving::Builder HostLeaving::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::appletally::inner::rpc::Leaving::Pipeline HostLeaving::Pipeline::getLeaving() {
+  return  ::appletally::inner::rpc::Leaving::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void HostLeaving::Builder::setLeaving( ::appletally::inner::rpc::Leaving::Reader value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::appletally::inner::rpc::Leaving::Builder HostLeaving::Builder::initLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HostLeaving::Builder::adoptLeaving(
+    ::capnp::Orphan< ::appletally::inner::rpc::Leaving>&& value) {
+  ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::appletally::inner::rpc::Leaving> HostLeaving::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::appletally::inner::rpc::Leaving>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool HostSuspects::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7148,6 +7558,40 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool EndpointsDelta::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointsDelta::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Reader EndpointsDelta::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Builder EndpointsDelta::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void EndpointsDelta::Builder::setLeaving( ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>::Builder EndpointsDelta::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void EndpointsDelta::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>> EndpointsDelta::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::appletally::inner::rpc::HostLeaving,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Evidence::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/appletally/inner/control_link.cpp
+++ b/src/appletally/inner/control_link.cpp
@@ -69,7 +69,8 @@
                 [this](bool reachable) {
                     base::logEvent(reachable ? base::Event::ControlFound : base::Event::ControlLost, reachable ? "connected to a configuration source" : "no configuration source is reachable");
                     m_toNode.send(ControlReachable { reachable });
-                } };
+                },
+                [this] { m_toNode.send(EndpointListRead {}); }, [this](const config::Endpoint& it) { m_toNode.send(LeavingHeld { it.sequence }); } };
         }
 
         rpc::Session::Client makeSession(rpc::Role role)
--- a/src/appletally/inner/control_link.h
+++ b/src/appletally/inner/control_link.h
@@ -30,10 +30,16 @@
 struct ControlReachable {
     bool reachable = false; // false: no control process answered in time
 };
+// A source's list of endpoints was received to its end.
+struct EndpointListRead { };
+// A source holds the announced record with this number, which says that an upstream leaves.
+struct LeavingHeld {
+    base::Sequence sequence;
+};
 struct DumpRequested {
     uint64_t id = 0; // echoed in DumpAnswered
 };
-using ToNode = std::variant<SnapshotReleased, EndpointsChanged, ControlReachable, DumpRequested>;
+using ToNode = std::variant<SnapshotReleased, EndpointsChanged, EndpointListRead, LeavingHeld, ControlReachable, DumpRequested>;
 
 // From the node's thread.
 struct EndpointAnnounced {
--- a/src/appletally/inner/rpc_wire.cpp
+++ b/src/appletally/inner/rpc_wire.cpp
@@ -25,6 +25,15 @@
 
 bool failed(rpc::Failure::Reader in) { return in.getCode() != 0; }
 
+static void write(rpc::Leaving::Builder out, const config::LeavingUpstream& in)
+{
+    out.setId(in.id);
+    out.setStartedAtMs(in.startedAtMs);
+    out.setSequence(in.sequence);
+}
+
+static config::LeavingUpstream read(rpc::Leaving::Reader in) { return { text(in.getId()), in.getStartedAtMs(), in.getSequence() }; }
+
 static void write(rpc::Endpoint::Builder out, const config::Endpoint& in)
 {
     out.setHost(in.host.text);
@@ -40,6 +49,8 @@
     out.setSequence(in.sequence.value);
     if (!in.suspects.empty())
         write(out.initSuspects(static_cast<kj::uint>(in.suspects.size())), in.suspects);
+    if (in.leaving)
+        write(out.initLeaving(), *in.leaving);
 }
 
 static config::Endpoint read(rpc::Endpoint::Reader in)
@@ -58,6 +69,8 @@
     out.incarnation.value = in.getIncarnation();
     out.sequence.value = in.getSequence();
     out.suspects = read(in.getSuspects());
+    if (in.hasLeaving())
+        out.leaving = read(in.getLeaving());
     return out;
 }
 
@@ -79,12 +92,39 @@
     return out;
 }
 
-static void attach(std::vector<config::Endpoint>& endpoints, capnp::List<rpc::HostSuspects>::Reader in)
+void write(capnp::List<rpc::HostLeaving>::Builder out, std::span<const HostLeaving> in)
+{
+    for (kj::uint n = 0; n < out.size(); ++n) {
+        out[n].setHost(in[n].host.text);
+        write(out[n].initLeaving(), in[n].leaving);
+    }
+}
+
+std::vector<HostLeaving> leavingOf(const std::vector<config::Endpoint>& endpoints)
+{
+    std::vector<HostLeaving> out;
+    for (const config::Endpoint& it : endpoints) {
+        if (it.leaving)
+            out.push_back({ it.host, *it.leaving });
+    }
+    return out;
+}
+
+static config::Endpoint* findHost(std::vector<config::Endpoint>& endpoints, capnp::Text::Reader host)
 {
-    for (rpc::HostSuspects::Reader of : in) {
-        const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto& it) { return it.host.text == of.getHost().cStr(); });
-        if (found != endpoints.end())
-            found->suspects = read(of.getSuspects());
+    const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto& it) { return it.host.text == host.cStr(); });
+    return found == endpoints.end() ? nullptr : &*found;
+}
+
+static void attach(std::vector<config::Endpoint>& endpoints, rpc::EndpointsDelta::Reader in)
+{
+    for (rpc::HostSuspects::Reader of : in.getSuspects()) {
+        if (config::Endpoint* it = findHost(endpoints, of.getHost()))
+            it->suspects = read(of.getSuspects());
+    }
+    for (rpc::HostLeaving::Reader of : in.getLeaving()) {
+        if (config::Endpoint* it = findHost(endpoints, of.getHost()))
+            it->leaving = read(of.getLeaving());
     }
 }
 
@@ -111,7 +151,7 @@
     if (!endpoints)
         return endpoints.error();
     out.endpoints = std::move(endpoints.value());
-    attach(out.endpoints, in.getSuspects());
+    attach(out.endpoints, in);
     return out;
 }
 
--- a/src/appletally/inner/rpc_wire.h
+++ b/src/appletally/inner/rpc_wire.h
@@ -44,6 +44,13 @@
 };
 
 std::vector<HostSuspects> suspectsOf(const std::vector<config::Endpoint>&);
+
+struct HostLeaving {
+    base::HostId host;
+    config::LeavingUpstream leaving;
+};
+void write(capnp::List<rpc::HostLeaving>::Builder, std::span<const HostLeaving>);
+std::vector<HostLeaving> leavingOf(const std::vector<config::Endpoint>&);
 void write(capnp::List<rpc::HostSuspects>::Builder, std::span<const HostSuspects>);
 
 void write(rpc::Failure::Builder, const base::Error&);
--- a/src/appletally/inner/source_client.cpp
+++ b/src/appletally/inner/source_client.cpp
@@ -334,6 +334,10 @@
         notifyEndpoints(changes.value());
     else
         ++m_counters.endpointMismatches; // the cursor in the reply requests what is missing
+    if (!changes || delta.value().more || std::exchange(m_endpointListRead, true))
+        return;
+    if (m_hooks.endpointListRead)
+        m_hooks.endpointListRead();
 }
 
 void SourceClient::notifyEndpoints(const std::vector<config::Endpoint>& changes)
@@ -349,7 +353,7 @@
     EndpointHeartbeat& known = m_endpoints[endpoint.host];
     if (std::tuple(known.endpoint.incarnation, known.endpoint.sequence) != std::tuple(endpoint.incarnation, endpoint.sequence))
         known.heartbeat = 0;
-    m_reportUrgent |= known.endpoint.suspects != endpoint.suspects;
+    m_reportUrgent |= known.endpoint.suspects != endpoint.suspects || known.endpoint.leaving != endpoint.leaving;
     known.endpoint = endpoint;
     m_endpointsDirty = true;
     sendReport();
@@ -400,12 +404,12 @@
     m_reporting = true;
     const base::Duration batchTime = std::exchange(m_reportUrgent, false) ? base::Duration {} : reportBatchInterval;
     m_linkTasks->add(m_timer.afterDelay(batchTime.ms * kj::MILLISECONDS).then([this]() -> kj::Promise<void> {
-                                                                            const NodeReport report = takePendingReport();
+                                                                            NodeReport report = takePendingReport();
                                                                             if (report.empty())
                                                                                 return kj::READY_NOW;
                                                                             auto request = m_link->session.castAs<rpc::Source>().reportRequest();
                                                                             write(request.initReport(), report);
-                                                                            return request.send().ignoreResult();
+                                                                            return request.send().then([this, endpoints = std::move(report.endpoints)](auto&&) { notifyLeavingHeld(endpoints); });
                                                                         })
                          .then([this] {
                              m_reporting = false;
@@ -414,6 +418,14 @@
                          }));
 }
 
+void SourceClient::notifyLeavingHeld(const std::vector<EndpointHeartbeat>& reported)
+{
+    for (const EndpointHeartbeat& it : reported) {
+        if (it.endpoint.leaving && m_hooks.leavingHeld)
+            m_hooks.leavingHeld(it.endpoint);
+    }
+}
+
 kj::Promise<void> SourceClient::renewPeriodically()
 {
     return m_timer.afterDelay(config::endpointRenewalInterval.ms * kj::MILLISECONDS).then([this] {
--- a/src/appletally/inner/source_client.h
+++ b/src/appletally/inner/source_client.h
@@ -35,6 +35,8 @@
     std::function<void(std::shared_ptr<const config::Snapshot>)> released; // at least the confirmed minimum version, and higher than any before
     std::function<void(std::vector<config::Endpoint>)> endpoints;
     std::function<void(bool)> reachable;
+    std::function<void()> endpointListRead; // once: a source's list of endpoints was received to its end; may be empty
+    std::function<void(const config::Endpoint&)> leavingHeld; // the source holds this announced record, whose `leaving` is set
 };
 
 struct SourceClientCounters {
@@ -93,6 +95,7 @@
     void receiveEndpoints(rpc::EndpointsDelta::Reader);
     void notifyEndpoints(const std::vector<config::Endpoint>&);
     void sendReport();
+    void notifyLeavingHeld(const std::vector<EndpointHeartbeat>& reported);
     NodeReport takePendingReport();
     void setReachable(bool);
 
@@ -129,6 +132,7 @@
     base::WallTime m_startTime; // serves as the incarnation of this process
     std::map<EvidenceKey, config::Evidence> m_evidence;
     bool m_endpointsDirty = false;
+    bool m_endpointListRead = false;
     bool m_appliedVersionDirty = false;
     std::map<EvidenceKey, bool> m_evidenceDirty;
     bool m_reporting = false; // at most one report in flight
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -6,6 +6,7 @@
 #include "appletally/config/codec.h"
 
 #include <algorithm>
+#include <utility>
 #include <variant>
 
 namespace appletally::node {
@@ -25,6 +26,9 @@
 // Final answers are sent this long before the graceful shutdown timeout, so that they can reach their callers.
 constexpr Duration finalAnswersLead { 300 };
 
+// Below the second for which an upstream waits for its acknowledgement.
+constexpr Duration leavingHeldTimeout { 850 };
+
 static base::Incarnation freshIncarnation()
 {
     // Increases with each start; the random low bits distinguish two starts within one millisecond.
@@ -130,11 +134,44 @@
         onSuspectRequestsTold(it.suspects);
         if (it.host != m_settings.membership.host)
             others.push_back(it); // for its own upstream, the node's local state is newer
+        else if (!m_leaving)
+            m_leaving = it.leaving;
     }
     m_ingress.setEndpoints(others);
     openIngressIfReady();
 }
 
+void Node::onMessage(const inner::EndpointListRead&)
+{
+    if (std::exchange(m_historyKnown, true))
+        return;
+    if (onHistoryKnown)
+        onHistoryKnown();
+}
+
+void Node::recordLeaving(const config::LeavingUpstream& leaving, std::function<void(bool held)> done)
+{
+    m_leaving = leaving;
+    announceEndpoint();
+    m_pendingLeaving.push_back({ m_sequence, base::steadyNow(), std::move(done) });
+}
+
+// Later records repeat what earlier ones say of the last leaving, so that a later number confirms an earlier one.
+void Node::onMessage(const inner::LeavingHeld& message)
+{
+    finishLeaving([&](const PendingLeaving& it) { return it.sequence <= message.sequence ? std::optional(true) : std::nullopt; });
+}
+
+void Node::finishLeaving(const std::function<std::optional<bool>(const PendingLeaving&)>& outcome)
+{
+    for (PendingLeaving& it : std::exchange(m_pendingLeaving, {})) {
+        if (const auto held = outcome(it))
+            it.done(*held);
+        else
+            m_pendingLeaving.push_back(std::move(it));
+    }
+}
+
 void Node::onMessage(const inner::ControlReachable& message)
 {
     if (m_controlReachable != message.reachable)
@@ -161,6 +198,7 @@
         it.slots = upstream->slots;
     }
     it.suspects = m_suspectRequests.published();
+    it.leaving = m_leaving;
     m_ingress.setEndpoints({ it });
     m_toControl(inner::EndpointAnnounced { it });
 }
@@ -202,6 +240,7 @@
     const base::Time now = base::steadyNow();
     base::addStall(m_stalls, base::StallCause::LateTimer, std::max<int64_t>((now - m_tickedAt - tickInterval).ms, 0) * 1000);
     m_tickedAt = now;
+    finishLeaving([&](const PendingLeaving& it) { return now - it.since > leavingHeldTimeout ? std::optional(false) : std::nullopt; });
     const Duration every = m_snapshot ? m_snapshot->timing.report : Duration { 200 };
     if (now - m_reportedAt >= every) {
         m_reportedAt = now;
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -44,13 +44,27 @@
 
     void announce(const Announcement& it) { m_owner.announce(it); }
     void onUpstreamLeft() { m_owner.onUpstreamLeft(); }
+    // Makes control keep that this upstream process leaves. `done` is called later: true once a control process holds it;
+    // false after leavingHeldTimeout, and the upstream must not get an acknowledgement.
+    void recordLeaving(const config::LeavingUpstream&, std::function<void(bool held)> done);
+    const std::optional<config::LeavingUpstream>& lastLeaving() const { return m_leaving; } // also of an earlier process of this node
+    // False: what an earlier process of this node has acknowledged is not known yet.
+    bool historyKnown() const { return m_historyKnown; }
+    std::function<void()> onHistoryKnown; // called once, from the loop
     std::string metrics() const; // Prometheus text format
     bool ready() const; // has a proven configuration and the endpoints, and is not stopping
 
 private:
+    struct PendingLeaving {
+        base::Sequence sequence; // of the record that says it
+        base::Time since;
+        std::function<void(bool held)> done;
+    };
     void onControl();
     void onMessage(const inner::SnapshotReleased&);
     void onMessage(const inner::EndpointsChanged&);
+    void onMessage(const inner::EndpointListRead&);
+    void onMessage(const inner::LeavingHeld&);
     void onMessage(const inner::ControlReachable&);
     void onMessage(const inner::DumpRequested&);
     void announceEndpoint();
@@ -59,6 +73,7 @@
     void relaySuspectRequest(const config::SuspectRequest&);
     bool isPassedOn(const config::SuspectRequest&) const; // over links, besides through control
     void openIngressIfReady();
+    void finishLeaving(const std::function<std::optional<bool>(const PendingLeaving&)>& outcome);
     void onTick();
     void drainOwnerWhenDue(base::Duration stopping);
     nlohmann::json toJson() const;
@@ -69,6 +84,9 @@
     ToControl m_toControl;
     base::Incarnation m_incarnation;
     base::Sequence m_sequence;
+    std::optional<config::LeavingUpstream> m_leaving;
+    std::vector<PendingLeaving> m_pendingLeaving;
+    bool m_historyKnown = false;
     SuspectRegistry m_suspectRequests;
     Peers m_peers;
     Claims m_claims;
--- /dev/null
+++ b/tests/leaving_test.cpp
@@ -0,0 +1,186 @@
+// The leaving of an upstream, acknowledged by its node, as it is known to the node's next process.
+#include "node_fixture.h"
+#include "process_fixture.h"
+
+#include "appletally/config/endpoint_registry.h"
+#include "appletally/inner/rpc_wire.h"
+#include "platform/node_port.h"
+
+#include <capnp/message.h>
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+using namespace appletally;
+
+namespace {
+
+constexpr uint64_t startedAtMs = 1'000;
+
+// A node with the port of the users' platform; the test plays control.
+struct LeavingNode {
+    TestMesh mesh;
+    process_test::Port heartbeats;
+    process_test::Port readiness;
+    std::string ip = "127." + std::to_string(100 + getpid() / 65536 % 100) + "." + std::to_string(getpid() / 256 % 256) + "." + std::to_string(getpid() % 256); // of its own, as the metrics port is fixed
+    TestNode* node = nullptr;
+    TestNode toPort; // where ask() sends heartbeats
+    std::unique_ptr<node::ExtraPort> port;
+
+    LeavingNode() { start(); }
+
+    void start()
+    {
+        node = &mesh.addNode("a", "z1");
+        platform::NodeFile file;
+        file.common.ip = ip;
+        file.heartbeatAddress = { "127.0.0.1", heartbeats.number() };
+        file.readinessAddress = { "127.0.0.1", readiness.number() };
+        toPort.addresses.callers = file.heartbeatAddress;
+        auto made = platform::NodePort::make(mesh.loop(), *node->node, [](const inner::FromNode&) {}, file, {});
+        REQUIRE(made);
+        port = std::move(made.value());
+    }
+
+    // As after a kill. Returns what control holds of the node.
+    config::Endpoint restart()
+    {
+        const config::Endpoint held = lastRecord();
+        port.reset();
+        mesh.removeNode("a");
+        start();
+        return held;
+    }
+
+    std::shared_ptr<TestAnswer> post(const std::string& call, const std::string& id, uint64_t born, uint64_t sequence, const std::string& state = "ready")
+    {
+        const base::Json body = { { "service", "berth-data" }, { "address", ip + ":8080" }, { "zone", "z1" }, { "version", "1.0" }, { "max_concurrency", 4 }, { "state", state },
+            { "cold_remaining_ms", 0 }, { "sequence", sequence }, { "born", born } };
+        return mesh.ask(toPort, "POST", "/-/Instances." + call + "/" + id, {}, body.dump());
+    }
+
+    int statusOf(const std::shared_ptr<TestAnswer>& it)
+    {
+        REQUIRE(mesh.run([&] { return it->done; }));
+        return it->status;
+    }
+
+    int heartbeat(const std::string& id, uint64_t born, uint64_t sequence) { return statusOf(post("Heartbeat", id, born, sequence)); }
+
+    config::Endpoint lastRecord() const
+    {
+        for (auto it = node->toControl.rbegin(); it != node->toControl.rend(); ++it) {
+            if (const auto* announced = std::get_if<inner::EndpointAnnounced>(&*it))
+                return announced->endpoint;
+        }
+        return {};
+    }
+
+    bool isReady() const { return lastRecord().state == config::EndpointState::Ready; }
+
+    void tell(inner::ToNode message)
+    {
+        node->fromControl.send(std::move(message));
+        event_base_loop(mesh.loop(), EVLOOP_NONBLOCK);
+    }
+
+    void acknowledge(const std::shared_ptr<TestAnswer>& leaving)
+    {
+        mesh.runFor(base::Duration { 30 });
+        CHECK_FALSE(leaving->done);
+        tell(inner::LeavingHeld { lastRecord().sequence });
+        CHECK(statusOf(leaving) == 200);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a late heartbeat does not bring back an upstream whose leaving an earlier process of the node acknowledged", "[platform][leaving]")
+{
+    // Guards against an acknowledgement that only the acknowledging process remembers.
+    const bool arrivesEarly = GENERATE(false, true); // before control has told the node's next process what it holds
+    LeavingNode it;
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    REQUIRE(it.isReady());
+    it.acknowledge(it.post("Deregister", "i-1", startedAtMs, 8));
+    const config::Endpoint held = it.restart();
+    if (arrivesEarly)
+        CHECK(it.heartbeat("i-1", startedAtMs, 6) == 200);
+    it.tell(inner::EndpointsChanged { { held } });
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    CHECK_FALSE(it.isReady());
+    CHECK(it.heartbeat("i-2", startedAtMs + 5000, 1) == 200);
+    CHECK(it.isReady());
+    CHECK(it.lastRecord().leaving == held.leaving);
+}
+
+TEST_CASE("an upstream that drains stays so in its node's next process until a later message of its own", "[platform][leaving]")
+{
+    LeavingNode it;
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    it.acknowledge(it.post("Heartbeat", "i-1", startedAtMs, 9, "draining"));
+    CHECK(it.statusOf(it.post("Heartbeat", "i-1", startedAtMs, 10, "draining")) == 200); // known already
+    const config::Endpoint held = it.restart();
+    it.tell(inner::EndpointsChanged { { held } });
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 8) == 200);
+    CHECK_FALSE(it.isReady());
+    CHECK(it.heartbeat("i-1", startedAtMs, 11) == 200);
+    CHECK(it.isReady());
+}
+
+TEST_CASE("a leaving that control does not hold is in force and not acknowledged", "[platform][leaving]")
+{
+    LeavingNode it;
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    const auto leaving = it.post("Deregister", "i-1", startedAtMs, 8);
+    CHECK(it.mesh.run([&] { return it.lastRecord().state == config::EndpointState::Draining; }));
+    CHECK(it.statusOf(leaving) == 503);
+}
+
+TEST_CASE("without control, a restarted node takes its upstream for ready at the second heartbeat", "[platform][leaving]")
+{
+    // Guards against an upstream that waits for good, and against one that a single late heartbeat brings back.
+    LeavingNode it;
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    it.mesh.runFor(base::Duration { 550 });
+    CHECK_FALSE(it.isReady());
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200); // a duplicate
+    CHECK_FALSE(it.isReady());
+    CHECK(it.heartbeat("i-1", startedAtMs, 8) == 200);
+    CHECK(it.isReady());
+}
+
+TEST_CASE("the first heartbeat of a new node is taken as soon as control has sent its list of endpoints, even an empty one", "[platform][leaving]")
+{
+    LeavingNode it;
+    CHECK(it.heartbeat("i-1", startedAtMs, 1) == 200);
+    CHECK_FALSE(it.isReady());
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.isReady());
+}
+
+TEST_CASE("control keeps the leaving of an upstream while its node is away", "[config][leaving]")
+{
+    config::Endpoint record;
+    record.host = { "a" };
+    record.service = { "berth-data" };
+    record.state = config::EndpointState::Draining;
+    record.sequence = { 4 };
+    record.leaving = config::LeavingUpstream { "i-1", startedAtMs, config::afterAllMessages };
+    capnp::MallocMessageBuilder message;
+    inner::NodeReport report;
+    report.endpoints.push_back({ record, 1 });
+    inner::write(message.initRoot<inner::rpc::Report>(), report);
+    const auto received = inner::read(message.getRoot<inner::rpc::Report>().asReader()).endpoints.at(0).endpoint;
+    config::EndpointRegistry registry;
+    config::put(registry, received, 1, base::Time {});
+    config::expire(registry, base::Time {} + config::endpointLifetime);
+    const auto sent = config::changesSince(registry, {}, nullptr, 10).endpoints;
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].state == config::EndpointState::Gone);
+    CHECK(inner::leavingOf(sent).at(0).leaving == *record.leaving);
+}
