Owner: an upload that its caller breaks off says nothing of its upstream

Seen in review of the change to bodies in pieces: when a caller left while its upstream read the body, the run ended as a failure of the upstream, and a rollout counted it against the version. It ends as cancelled now. The new test holds the slot's release and the count of cancelled calls; that a rollout does not count it is read, not tested.

--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -130,6 +130,7 @@
     void forgetLostRunsBefore(const ActiveCall& answered);
     bool mayRunHere(const ActiveCall&) const; // once admitted
     void cancelUpstream(ActiveCall&); // closes the connection of its run, if it has one
+    void endRun(ActiveCall&, policy::RunEnd, base::Error);
     void failRun(ActiveCall&, base::Error); // ends a run whose answer is broken or can no longer arrive in time
     void onTick();
     void setTick(bool busy); // short interval while there are calls, long otherwise
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -394,13 +394,17 @@
 
 void Owner::failRun(ActiveCall& it, base::Error error)
 {
-    if (it.stage != Stage::Running)
-        return;
+    if (it.stage == Stage::Running)
+        endRun(it, RunEnd::Failed, std::move(error));
+}
+
+void Owner::endRun(ActiveCall& it, RunEnd how, base::Error error)
+{
     cancelUpstream(it);
     it.ranMicros = base::steadyMicros() - it.startedMicros;
-    record(it, RunEnd::Failed);
+    record(it, how);
     endClaim(it, error);
-    const auto changes = policy::finished(m_admission, { it.id }, RunEnd::Failed, Duration { it.ranMicros / 1000 }, base::steadyNow());
+    const auto changes = policy::finished(m_admission, { it.id }, how, Duration { it.ranMicros / 1000 }, base::steadyNow());
     finish(it, std::move(error));
     applyFollowup(changes);
 }
@@ -470,7 +474,7 @@
     const bool bodyIsCut = it->stage == Stage::Running && it->bodyAppended < it->call.bodyBytes;
     if (bodyIsCut) {
         it->detached = true;
-        return failRun(*it, base::fail(Code::Cancelled, "the caller disconnected before its body was complete"));
+        return endRun(*it, RunEnd::Cancelled, base::fail(Code::Cancelled, "the caller disconnected before its body was complete"));
     }
     if (begun && !it->call.idempotent) {
         it->detached = true;
--- a/tests/large_body_test.cpp
+++ b/tests/large_body_test.cpp
@@ -6,8 +6,12 @@
 #include "appletally/inner/link.capnp.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <capnp/message.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace appletally;
 
@@ -55,6 +59,25 @@
     }
 };
 
+// An upstream that is connected to and reads nothing.
+struct StalledListener {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    base::Address address;
+
+    StalledListener()
+    {
+        sockaddr_in at {};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+        REQUIRE(listen(fd, 8) == 0);
+        socklen_t n = sizeof at;
+        getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n);
+        address = { "127.0.0.1", ntohs(at.sin_port) };
+    }
+    ~StalledListener() { close(fd); }
+};
+
 // The head of a raw request, without its body.
 std::string rawPost(const std::string& framing) { return "POST /plugs/connect/raw HTTP/1.1\r\nHost: test\r\n" + framing + "\r\n\r\n"; }
 
@@ -158,6 +181,21 @@
     CHECK(second.lastBody == body);
 }
 
+TEST_CASE("an upload whose caller leaves while its upstream reads frees its slot, and says nothing of the upstream", "[node][large-body]")
+{
+    // Guards against a run that waits for the rest of its body until its deadline.
+    UploadMesh it;
+    StalledListener stalled;
+    it.start();
+    it.a->node->announce({ { "plug-control" }, { "1.0" }, stalled.address, 1, config::EndpointState::Ready, "i-1", 1, {}, {} });
+    const auto running = [&] { return it.a->node->metrics().find("appletally_upstream_calls{stage=\"running\"} 1\n") != std::string::npos; };
+    it.mesh.askRaw(it.a->addresses.callers, rawPost("Content-Length: 32000000") + bytesOf(32'000'000));
+    REQUIRE(it.mesh.run(running));
+    it.mesh.closeRaw(0);
+    REQUIRE(it.mesh.run([&] { return !running(); }));
+    CHECK(it.a->node->metrics().find("appletally_calls_total{outcome=\"cancelled\"} 1\n") != std::string::npos);
+}
+
 TEST_CASE("bodies that do not match their framing reach no upstream", "[node][large-body]")
 {
     // Guards against passing on the beginning of a body: shorter than declared, or larger than allowed without a length.
