--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -55,7 +55,7 @@
     CHECK(good.value().announcement.state == config::EndpointState::Ready);
     // Another program sends an incomplete heartbeat, or one with unknown values. With guessed defaults, requests would be
     // sent to an upstream that does not exist.
-    for (const char* field : { "service", "address", "version", "max_concurrency", "state", "sequence", "born" }) {
+    for (const char* field : { "service", "address", "zone", "version", "max_concurrency", "state", "cold_remaining_ms", "sequence", "born" }) {
         Json missing = heartbeatBody();
         missing.erase(field);
         CHECK_FALSE(platform::readHeartbeat("i-1", missing.dump()));
