--- a/tests/platform_node.h
+++ b/tests/platform_node.h
@@ -36,7 +36,7 @@
     // As after a kill. Returns what control holds of the node.
     appletally::config::Endpoint restart()
     {
-        const appletally::config::Endpoint held = lastRecord();
+        appletally::config::Endpoint held = lastRecord();
         port.reset();
         mesh.removeNode("a");
         start();
