An acknowledged leaving binds a restarted node also where it learns of it late

A restarted node reads the list of a control process that has not heard of the leaving yet, takes a late heartbeat, and then ignores the record that tells of it. 2. The node's next record, written before it knows of the leaving, replaces the one that names it, so that a second restart finds nothing. 3. A control process that has the next record already drops the older one, and the leaving with it.

Cause: the leaving was part of a record of which the newest wins as a whole, and the node read it only before its first heartbeat.

Change: of two records of a host the later leaving is kept, whatever their order, in the registry of control and in a node's copy. A node applies it whenever it learns of it, unless the upstream has said more since.

--- a/src/appletally/config/endpoint.h
+++ b/src/appletally/config/endpoint.h
@@ -32,6 +32,10 @@
 
 constexpr uint64_t afterAllMessages = UINT64_MAX; // LeavingUpstream::sequence of one that has deregistered
 
+// Of the leavings that two records of a host name, the one that voids more messages. A record without a leaving takes none
+// back: its writer may have restarted and not know it.
+std::optional<LeavingUpstream> laterLeaving(const std::optional<LeavingUpstream>&, const std::optional<LeavingUpstream>&);
+
 struct Endpoint {
     base::HostId host; // key: one upstream per host
     base::ServiceName service;
--- a/src/appletally/config/endpoint_mirror.cpp
+++ b/src/appletally/config/endpoint_mirror.cpp
@@ -39,11 +39,14 @@
     {
         auto [it, isNew] = mirror.entries.try_emplace(endpoint.host);
         MirrorEntry& entry = it->second;
+        const auto leaving = laterLeaving(entry.endpoint.leaving, endpoint.leaving);
+        const bool leavingChanged = leaving != std::exchange(entry.endpoint.leaving, leaving);
         // An older record comes from a source that lags: the source still knows the host, but not its current state.
         if (!isNew && revision(endpoint) < revision(entry.endpoint))
-            return false;
-        const bool changed = isNew || revision(endpoint) != revision(entry.endpoint) || endpoint.state != entry.endpoint.state;
+            return leavingChanged;
+        const bool changed = isNew || leavingChanged || revision(endpoint) != revision(entry.endpoint) || endpoint.state != entry.endpoint.state;
         entry.endpoint = endpoint;
+        entry.endpoint.leaving = leaving;
         entry.unconfirmedSince.reset();
         entry.removedAt = now;
         return changed;
@@ -60,7 +63,7 @@
     std::vector<Endpoint> changed;
     for (const Endpoint& it : delta.endpoints) {
         if (updateEntry(mirror, it, now))
-            changed.push_back(it);
+            changed.push_back(mirror.entries.at(it.host).endpoint);
     }
     mirror.cursor = delta.to;
     return changed;
--- a/src/appletally/config/endpoint_registry.cpp
+++ b/src/appletally/config/endpoint_registry.cpp
@@ -41,6 +41,16 @@
         }
     }
 
+    bool keepLaterLeaving(EndpointRegistry& registry, RegistryEntry& entry, const Endpoint& older)
+    {
+        const auto leaving = laterLeaving(entry.endpoint.leaving, older.leaving);
+        if (leaving == entry.endpoint.leaving)
+            return false;
+        entry.endpoint.leaving = leaving;
+        markChanged(registry, entry);
+        return true;
+    }
+
     bool applyHeartbeat(EndpointRegistry& registry, RegistryEntry& entry, uint64_t heartbeat, base::Time now)
     {
         if (heartbeat <= entry.heartbeat || entry.endpoint.state == EndpointState::Gone)
@@ -63,12 +73,14 @@
     auto [it, isNew] = registry.entries.try_emplace(endpoint.host);
     RegistryEntry& entry = it->second;
     if (!isNew && revision(endpoint) < revision(entry.endpoint))
-        return false;
+        return keepLaterLeaving(registry, entry, endpoint);
     if (!isNew && revision(endpoint) == revision(entry.endpoint))
         return applyHeartbeat(registry, entry, heartbeat, now);
     if (!isNew && entry.endpoint.service != endpoint.service)
         entry.previousServices.insert(entry.endpoint.service);
+    const auto leaving = laterLeaving(entry.endpoint.leaving, endpoint.leaving);
     entry.endpoint = endpoint;
+    entry.endpoint.leaving = leaving;
     entry.heartbeat = heartbeat;
     entry.renewed = now;
     entry.expired = false;
--- a/src/appletally/config/endpoint_registry.h
+++ b/src/appletally/config/endpoint_registry.h
@@ -2,7 +2,8 @@
 //
 // Each record has one writer, the node beside the upstream. Records may arrive in any order and any number of times; the
 // higher (incarnation, sequence) wins. A record that is not renewed expires and becomes a tombstone, so that subscribers
-// are notified; the writer's next heartbeat restores it.
+// are notified; the writer's next heartbeat restores it. The leaving of an upstream outlives the record that told of it:
+// the later one is kept whatever the order of records.
 //
 // The sequence numbers contents: records of equal (incarnation, sequence) have equal content. A renewal without a change
 // has a heartbeat number of its own. If renewals raised the sequence, a relay that missed a record but received the
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -134,13 +134,25 @@
         onSuspectRequestsTold(it.suspects);
         if (it.host != m_settings.membership.host)
             others.push_back(it); // for its own upstream, the node's local state is newer
-        else if (!m_leaving)
-            m_leaving = it.leaving;
+        else
+            learnLeaving(it.leaving);
     }
     m_ingress.setEndpoints(others);
     openIngressIfReady();
 }
 
+// May come after the list of endpoints: control processes tell each other with a delay.
+void Node::learnLeaving(const std::optional<config::LeavingUpstream>& told)
+{
+    const auto later = config::laterLeaving(m_leaving, told);
+    if (later == std::exchange(m_leaving, later))
+        return;
+    if (m_owner.upstream())
+        announceEndpoint();
+    if (onLeavingLearned)
+        onLeavingLearned();
+}
+
 void Node::onMessage(const inner::EndpointListRead&)
 {
     if (std::exchange(m_historyKnown, true))
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -51,6 +51,7 @@
     // False: what an earlier process of this node has acknowledged is not known yet.
     bool historyKnown() const { return m_historyKnown; }
     std::function<void()> onHistoryKnown; // called once, from the loop
+    std::function<void()> onLeavingLearned; // lastLeaving() is another one, which an earlier process of this node has acknowledged
     std::string metrics() const; // Prometheus text format
     bool ready() const; // has a proven configuration and the endpoints, and is not stopping
 
@@ -73,6 +74,7 @@
     void relaySuspectRequest(const config::SuspectRequest&);
     bool isPassedOn(const config::SuspectRequest&) const; // over links, besides through control
     void openIngressIfReady();
+    void learnLeaving(const std::optional<config::LeavingUpstream>&);
     void finishLeaving(const std::function<std::optional<bool>(const PendingLeaving&)>& outcome);
     void onTick();
     void drainOwnerWhenDue(base::Duration stopping);
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -1,6 +1,7 @@
 // The leaving of an upstream, acknowledged by its node, as it is known to the node's next process.
 #include "platform_node.h"
 
+#include "appletally/config/endpoint_mirror.h"
 #include "appletally/config/endpoint_registry.h"
 #include "appletally/inner/rpc_wire.h"
 
@@ -94,6 +95,65 @@
     CHECK(it.isReady());
 }
 
+TEST_CASE("a leaving of which control tells after the first heartbeat still binds a restarted node", "[platform][leaving]")
+{
+    // Guards against a control process that sends its list before another one has told it of the leaving.
+    LeavingNode it;
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+    SECTION("of one that has deregistered")
+    {
+        it.acknowledge(it.post("Deregister", "i-1", startedAtMs, 8));
+        const config::Endpoint held = it.restart();
+        it.tell(inner::EndpointListRead {});
+        CHECK(it.heartbeat("i-1", startedAtMs, 7) == 200);
+        CHECK(it.isReady());
+        it.tell(inner::EndpointsChanged { { held } });
+        CHECK_FALSE(it.isReady());
+        CHECK(it.lastRecord().leaving == held.leaving);
+        CHECK(it.heartbeat("i-1", startedAtMs, 9) == 200);
+        CHECK_FALSE(it.isReady());
+        CHECK(it.heartbeat("i-2", startedAtMs + 5000, 1) == 200);
+        CHECK(it.isReady());
+    }
+    SECTION("of one that drains, unless it has said more since")
+    {
+        it.acknowledge(it.post("Heartbeat", "i-1", startedAtMs, 9, "draining"));
+        const config::Endpoint held = it.restart();
+        const uint64_t sequence = GENERATE(8, 10);
+        it.tell(inner::EndpointListRead {});
+        CHECK(it.heartbeat("i-1", startedAtMs, sequence) == 200);
+        it.tell(inner::EndpointsChanged { { held } });
+        CHECK(it.isReady() == (sequence > 9));
+    }
+}
+
+TEST_CASE("a record of a node that does not know of a leaving does not take it back, in whatever order records arrive", "[config][leaving]")
+{
+    // Guards against an acknowledged leaving that is gone after the second restart of its node.
+    config::Endpoint previous;
+    previous.host = { "a" };
+    previous.incarnation = { 1 };
+    previous.leaving = config::LeavingUpstream { "i-1", startedAtMs, config::afterAllMessages };
+    config::Endpoint next = previous;
+    next.incarnation = { 2 };
+    next.state = config::EndpointState::Ready;
+    next.leaving = {};
+    const bool inOrder = GENERATE(true, false);
+    config::EndpointRegistry registry;
+    registry.id = 1;
+    CHECK(config::put(registry, inOrder ? previous : next, 1, base::Time {}));
+    config::EndpointMirror mirror;
+    REQUIRE(config::applyEndpoints(mirror, config::changesSince(registry, mirror.cursor, nullptr, 10), base::Time {}));
+    CHECK(config::put(registry, inOrder ? next : previous, 1, base::Time {}));
+    const auto changes = config::applyEndpoints(mirror, config::changesSince(registry, mirror.cursor, nullptr, 10), base::Time {});
+    REQUIRE(changes);
+    REQUIRE(changes.value().size() == 1);
+    CHECK(changes.value()[0].incarnation == next.incarnation);
+    CHECK(changes.value()[0].state == config::EndpointState::Ready);
+    CHECK(changes.value()[0].leaving == previous.leaving);
+}
+
 TEST_CASE("control keeps the leaving of an upstream while its node is away", "[config][leaving]")
 {
     config::Endpoint record;
