Bodies of a middle size count against the memory for bodies too

Cause: only bodies above 256 KB were reserved before they are read. Each smaller one stood in memory three times: in the listener's request, the call and the attempt, in strings that doubled as they grew.

Change: bodies above 32 KB are received once, reserved and passed on in pieces like any large one. Those without a length reserve 64 KB at first, not 1 MB. A small body moves from the listener's request to the call, in a string of its length.

--- a/src/appletally/http/caller_body.cpp
+++ b/src/appletally/http/caller_body.cpp
@@ -12,6 +12,10 @@
 using base::Duration;
 using policy::BodyRoom;
 
+// What a body whose length is not known reserves beyond what has arrived.
+constexpr uint64_t leastReservedStep = 64 * 1024;
+constexpr uint64_t mostReservedStep = 1024 * 1024;
+
 void CallerConnection::sendContinue()
 {
     const std::string* expects = findHeader(incoming->m_request.headers, "Expect");
@@ -106,13 +110,13 @@
 
 bool CallerConnection::addLargeBody(evbuffer* buf)
 {
-    constexpr uint64_t reservedStep = 1024 * 1024; // of a body whose length is not known
     while (incomingBody->reserved() < incomingBody->size() + evbuffer_get_length(buf)) {
-        if (listener.reserveBody(reservedStep) != BodyRoom::Free) {
+        const uint64_t step = std::clamp(incomingBody->reserved(), leastReservedStep, mostReservedStep);
+        if (listener.reserveBody(step) != BodyRoom::Free) {
             refuseBody("no memory for the rest of the body");
             return false;
         }
-        incomingBody->addReserved(reservedStep);
+        incomingBody->addReserved(step);
     }
     return incomingBody->append(buf);
 }
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -295,7 +295,8 @@
         const auto length = static_cast<uint64_t>(reader.head.length);
         if (!reserveDeclaredBody(length) || !beginLargeBody(length, length))
             return;
-    }
+    } else if (reader.head.length > 0)
+        request.body.reserve(static_cast<size_t>(reader.head.length));
     sendContinue();
 }
 
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -45,7 +45,7 @@
 struct ListenerLimits {
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
     size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
-    size_t maxSmallBodyBytes = 256 * 1024; // a larger body is kept once, and passed on in parts
+    size_t maxSmallBodyBytes = 32 * 1024; // a larger body is kept once, and passed on in parts
     uint64_t memoryBytes = 0; // that the process may use; bounds large bodies and held answers. 0: not bounded
     base::Duration bodyWaitTimeout { 500 }; // for memory; then the request is refused
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
@@ -90,6 +90,7 @@
 public:
     ~CallerExchange();
     const CallerRequest& request() const { return m_request; }
+    std::string takeBody() { return std::move(m_request.body); } // so that it is not kept twice
 
     // Call either reply() once, or startStream(), then streamBody() any number of times, then endStream() or abort().
     // The exchange must not be used after reply(), endStream() or abort(). After a successful takeBack() it is as if
--- a/src/appletally/http/large_body.cpp
+++ b/src/appletally/http/large_body.cpp
@@ -47,14 +47,6 @@
     return true;
 }
 
-void LargeBody::append(std::string_view bytes)
-{
-    evbuffer* buf = evbuffer_new();
-    evbuffer_add_reference(buf, bytes.data(), bytes.size(), nullptr, nullptr);
-    append(buf);
-    evbuffer_free(buf);
-}
-
 uint64_t LargeBody::digest() const { return XXH3_64bits_digest(m_digest); }
 
 uint64_t residentBytes()
--- a/src/appletally/http/large_body.h
+++ b/src/appletally/http/large_body.h
@@ -26,7 +26,6 @@
 
     void addReserved(uint64_t bytes) { m_reserved += bytes; } // already taken from the BodyMemory
     bool append(evbuffer*); // drains the buffer; false, without any effect: it is longer than the capacity
-    void append(std::string_view);
     std::string_view view() const { return { m_bytes, m_size }; }
     uint64_t size() const { return m_size; }
     uint64_t reserved() const { return m_reserved; }
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -123,7 +123,7 @@
         std::erase_if(it.call.headers, [&](const http::HeaderField& field) { return http::sameName(field.name, names.service); });
         it.call.headers.push_back({ names.service, m_settings.service.text });
     }
-    it.call.body = request.body;
+    it.call.body = exchange.takeBody();
     if (request.largeBody) {
         it.body = request.largeBody;
         it.call.bodyBytes = it.body->size();
--- a/tests/large_body_test.cpp
+++ b/tests/large_body_test.cpp
@@ -322,6 +322,23 @@
     CHECK(it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") == 0);
 }
 
+TEST_CASE("many bodies of a middle size are read only while there is memory for them", "[node][large-body]")
+{
+    // Guards against a process that is killed over its limit by hundreds of bodies, each far below a large one.
+    SmallMesh it(12 * megabyte);
+    constexpr uint64_t bodyBytes = 250'000;
+    const bool chunked = GENERATE(false, true);
+    for (int n = 0; n < 100; ++n)
+        it.mesh.askRaw(it.b->addresses.callers, chunked ? rawPost("Transfer-Encoding: chunked") + "9c40\r\n" + bytesOf(40'000) + "\r\n" : declared(bodyBytes)); // 9c40: 40,000
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 20 * static_cast<double>(bodyBytes); }));
+    it.mesh.runFor(base::Duration { 100 });
+    CHECK(it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") <= 14 * megabyte);
+    CHECK((it.metric("appletally_caller_bodies_waiting") > 0) != chunked);
+    const auto small = it.post(*it.b, bytesOf(24'000), "small");
+    REQUIRE(it.mesh.run([&] { return small->done; }));
+    CHECK(small->status == 200);
+}
+
 TEST_CASE("a large body for which no memory becomes free is refused as not run, with a time to return", "[node][large-body]")
 {
     SmallMesh it(24 * megabyte);
