A caller that does not read its answers gets no further request started

A caller that sends commands on one connection without end and does not read had all of them run, and their answers kept in the node's memory: nothing bounded the output of a connection. A process above its memory limit is killed with all that it has passed on.

Change: with 64 KB of unread answers no further request of the connection is started until all of them are written.

--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -23,6 +23,9 @@
     // Limit of buffered input of one connection. Reading pauses above it; only then is a disconnect detected late.
     constexpr size_t maxUnreadBytes = 256 * 1024;
 
+    // Unread answer bytes of one connection above which no further request on it is started.
+    constexpr size_t maxUnreadAnswerBytes = 64 * 1024;
+
     // Time for a caller to read the last answer before the connection is closed.
     constexpr Duration lingerTimeout { 1000 };
 
@@ -206,7 +209,8 @@
         return;
     if (closing == Closing::AfterAnswers && queue.empty())
         return startLinger();
-    if (queue.empty() || !queue.front()->m_started)
+    startQueued(); // requests that waited for the caller to read
+    if (dropped || queue.empty() || !queue.front()->m_started)
         return;
     phaseStart = base::steadyNow();
     if (queue.front()->onDrained)
@@ -330,6 +334,8 @@
 void CallerConnection::startQueued()
 {
     for (size_t n = 0; n < queue.size() && !dropped; ++n) {
+        if (evbuffer_get_length(bufferevent_get_output(buffers)) > maxUnreadAnswerBytes)
+            return;
         CallerExchange& it = *queue[n];
         if (it.m_started && it.mayEndConnection())
             return;
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -19,6 +19,8 @@
 // A large body is read only once there is memory for all of it (policy/body_memory.h). Until then its connection is not read,
 // so that TCP pauses the caller, and after `bodyWaitTimeout` the request is refused. Small bodies never wait.
 //
+// A caller that sends many requests and does not read their answers is not served further until it reads.
+//
 // All held answers together are limited to `maxHeldBytes`. Above it nothing is started behind others, held streams pause,
 // and a stream that is due is sent although requests run behind it (`sentUnprotected`).
 #pragma once
--- a/tests/pipelined_answers_test.cpp
+++ b/tests/pipelined_answers_test.cpp
@@ -2,7 +2,11 @@
 #include "node_fixture.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace appletally;
 
@@ -45,6 +49,32 @@
     return out;
 }
 
+// A caller whose answers stay in the system's buffers until read() is called.
+struct UnreadConnection {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    explicit UnreadConnection(const base::Address& address)
+    {
+        const int receiveBuffer = 16 * 1024;
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+        REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to) == 0);
+    }
+    ~UnreadConnection() { close(fd); }
+
+    void send(const std::string& bytes) const { REQUIRE(::send(fd, bytes.data(), bytes.size(), 0) == static_cast<ssize_t>(bytes.size())); }
+
+    std::string read() const
+    {
+        std::string out(1024 * 1024, '\0');
+        out.resize(static_cast<size_t>(std::max<ssize_t>(recv(fd, out.data(), out.size(), MSG_DONTWAIT), 0)));
+        return out;
+    }
+};
+
 const std::string command = request("POST", "/plugs/disconnect", "Request-Tag: the-command\r\n");
 const std::string lastDownload = request("GET", "/archive/1", "Connection: close\r\n");
 
@@ -128,3 +158,34 @@
     it.mesh.runFor({ 200 });
     CHECK(it.commands.runs == 0);
 }
+
+TEST_CASE("commands of a caller that does not read its answers are not started", "[node][pipeline]")
+{
+    // Guards against a process that is killed over its memory limit by one caller that sends without end and does not read.
+    Pipeline it;
+    it.commands.bodyBytes = 250'000;
+    UnreadConnection caller(it.caller.addresses.callers);
+    constexpr int requests = 30;
+    for (int n = 0; n < requests; ++n)
+        caller.send(command);
+    REQUIRE(it.mesh.run([&] { return it.commands.runs > 0; }));
+    it.mesh.runFor({ 500 });
+    CHECK(it.commands.runs < requests / 2);
+    std::string answers;
+    CHECK(it.mesh.run([&] { return countOf(answers += caller.read(), "HTTP/1.1 200") == requests; }));
+    CHECK(it.commands.runs == requests);
+}
+
+TEST_CASE("reads of a caller that does not read its answers are started only as memory allows", "[node][pipeline]")
+{
+    // Guards against the same for reads, which run side by side.
+    Pipeline it;
+    it.downloads.bodyBytes = it.otherDownloads.bodyBytes = 250'000;
+    UnreadConnection caller(it.caller.addresses.callers);
+    constexpr int requests = 30;
+    for (int n = 0; n < requests; ++n)
+        caller.send(request("GET", "/archive/" + std::to_string(n)));
+    REQUIRE(it.mesh.run([&] { return it.downloadRuns() > 0; }));
+    it.mesh.runFor({ 500 });
+    CHECK(it.downloadRuns() < requests / 2);
+}
