Answers that wait at an owner for links are bounded by its memory

Change: above an eighth of the process's memory an upstream whose answer is not short is not read on, and keeps its slot, until half of the bound is free. Short answers pass.

--- a/src/appletally/node/answer_sender.cpp
+++ b/src/appletally/node/answer_sender.cpp
@@ -10,7 +10,9 @@
 
 using policy::AnswerId;
 
-AnswerSender::AnswerSender(event_base* loop)
+AnswerSender::AnswerSender(event_base* loop, uint64_t maxWaitingBytes, std::function<void()> hasRoom)
+    : m_maxWaitingBytes(maxWaitingBytes)
+    , m_hasRoom(std::move(hasRoom))
 {
     m_timer = event_new(
         loop, -1, 0, [](evutil_socket_t, short, void* self) { static_cast<AnswerSender*>(self)->sendPieces(); }, this);
@@ -28,7 +30,8 @@
 void AnswerSender::removeLink(policy::ConnectionNumber link)
 {
     m_links.erase(link);
-    std::erase_if(m_answers, [&](const auto& entry) { return entry.first.connection == link; });
+    for (auto it = m_answers.lower_bound({ link, 0 }); it != m_answers.end() && it->first.connection == link;)
+        drop((it++)->first);
     policy::removeConnection(m_pacing, link);
     sendPieces();
 }
@@ -55,6 +58,7 @@
     if (!it.waiting)
         return write(id, it, buf);
     evbuffer_add_buffer(it.waiting.get(), buf);
+    m_waitingBytes += n;
     policy::bytesReady(m_pacing, id, n);
     sendPieces();
 }
@@ -76,11 +80,28 @@
 
 void AnswerSender::cancel(AnswerId id)
 {
-    m_answers.erase(id);
+    drop(id);
     policy::removeAnswer(m_pacing, id);
     sendPieces();
 }
 
+void AnswerSender::drop(AnswerId id)
+{
+    const auto found = m_answers.find(id);
+    if (found == m_answers.end())
+        return;
+    if (found->second.waiting)
+        m_waitingBytes -= evbuffer_get_length(found->second.waiting.get());
+    m_answers.erase(found);
+}
+
+bool AnswerSender::isFull()
+{
+    const bool out = m_maxWaitingBytes > 0 && m_waitingBytes > m_maxWaitingBytes;
+    m_toldFull |= out;
+    return out;
+}
+
 void AnswerSender::acknowledged(AnswerId id, uint64_t bytes)
 {
     policy::bytesAcknowledged(m_pacing, id, bytes, base::steadyNow());
@@ -95,10 +116,7 @@
 
 void AnswerSender::writeMetrics(base::MetricsText& out) const
 {
-    size_t waiting = 0;
-    for (const auto& [id, it] : m_answers)
-        waiting += it.waiting ? evbuffer_get_length(it.waiting.get()) : 0;
-    out.add("appletally_answer_waiting_bytes", "", static_cast<double>(waiting));
+    out.add("appletally_answer_waiting_bytes", "", static_cast<double>(m_waitingBytes));
     out.add("appletally_answer_window_bytes", "", m_pacing.window);
 }
 
@@ -111,7 +129,7 @@
 void AnswerSender::writeEnd(AnswerId id, const CallEnd& end)
 {
     const uint64_t sentBytes = m_answers[id].sentBytes;
-    m_answers.erase(id);
+    drop(id);
     m_links.at(id.connection).end(id.call, end, sentBytes);
 }
 
@@ -122,10 +140,15 @@
         Answer& it = m_answers.at(piece->answer);
         const Buffer buf(evbuffer_new());
         evbuffer_remove_buffer(it.waiting.get(), buf.get(), piece->bytes);
+        m_waitingBytes -= piece->bytes;
         write(piece->answer, it, buf.get());
         if (it.end && evbuffer_get_length(it.waiting.get()) == 0)
             writeEnd(piece->answer, CallEnd(*it.end));
     }
+    if (m_toldFull && m_waitingBytes <= m_maxWaitingBytes / 2) {
+        m_toldFull = false;
+        m_hasRoom();
+    }
     const auto next = policy::nextPacingTick(m_pacing);
     if (!next) {
         event_del(m_timer);
--- a/src/appletally/node/call.h
+++ b/src/appletally/node/call.h
@@ -70,6 +70,9 @@
     // With a large body: so many bytes more may be passed to appendBody(), at once or later. Not called before the call has a
     // slot, so that a refused call has cost no body.
     std::function<void(uint64_t bytes)> wantBody;
+    // True: the answers that wait to be sent on take all memory that they may, and the upstream is not read on unless its
+    // answer is short. Owner::readOn() ends it. Empty: never.
+    std::function<bool()> isFull;
 };
 
 // Flow-control window, in each direction: body bytes that may be sent before the receiver has passed them on. Smaller request
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -60,7 +60,7 @@
                m_ownerLinks.broadcastLoad(load);
                m_ingress.onLoadReported(m_settings.membership.host, load); } })
     , m_ownerLinks(
-          loop, m_settings.membership, m_owner, [this](const base::HostId&, const std::string& body, const OwnerLinks::Answer& answer) { answer(m_claims.receive(body)); },
+          loop, m_settings.membership, m_owner, m_settings.memoryBytes, [this](const base::HostId&, const std::string& body, const OwnerLinks::Answer& answer) { answer(m_claims.receive(body)); },
           [this](const std::vector<config::SuspectRequest>& told) { onSuspectRequestsTold(told); })
     , m_ingress(loop, { m_settings.membership.host, m_settings.zone, m_settings.service, limitsOf(m_settings), m_settings.dialect, m_settings.features }, m_owner, m_peers, m_claims, m_suspectRequests)
     , m_announcePort(loop, [this](const Announcement& it) { m_owner.announce(it); })
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -81,6 +81,7 @@
     // The caller disconnected. A non-idempotent run continues, since stopping it part-way has no benefit; its answer is dropped.
     void cancel(OwnerCallId);
     void consumed(OwnerCallId, uint64_t bytes);
+    void readOn(); // CallHandler::isFull is false again
     bool appendBody(OwnerCallId, std::string_view); // part of a large request body; false: more than was requested
 
     void announce(const Announcement&);
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -25,13 +25,15 @@
     std::map<uint64_t, OwnerCallId> calls; // peer's call id to local call id, until the run has ended
 };
 
-OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, OnClaim onClaim, OnSuspectRequests onSuspectRequests)
+constexpr uint64_t waitingAnswersPart = 8; // of the process's memory
+
+OwnerLinks::OwnerLinks(event_base* loop, const inner::Membership& membership, Owner& owner, uint64_t memoryBytes, OnClaim onClaim, OnSuspectRequests onSuspectRequests)
     : m_loop(loop)
     , m_membership(&membership)
     , m_owner(&owner)
     , m_onClaim(std::move(onClaim))
     , m_onSuspectRequests(std::move(onSuspectRequests))
-    , m_answers(loop)
+    , m_answers(loop, memoryBytes / waitingAnswersPart, [this] { m_owner->readOn(); })
 {
 }
 
@@ -194,6 +196,7 @@
         credit.setBytes(bytes);
         accepted->link->send(out);
     };
+    handler.isFull = [this] { return m_answers.isFull(); };
     it.calls[id] = m_owner->start(readCall(message, base::steadyNow()), std::move(handler));
 }
 
--- a/src/appletally/node/owner_links.h
+++ b/src/appletally/node/owner_links.h
@@ -28,7 +28,8 @@
 
     using OnSuspectRequests = std::function<void(const std::vector<config::SuspectRequest>&)>;
 
-    OwnerLinks(event_base*, const inner::Membership&, Owner&, OnClaim, OnSuspectRequests);
+    // `memoryBytes`: that this process may use; bounds the answers that wait for links. 0: not bounded.
+    OwnerLinks(event_base*, const inner::Membership&, Owner&, uint64_t memoryBytes, OnClaim, OnSuspectRequests);
     ~OwnerLinks();
     OwnerLinks(const OwnerLinks&) = delete;
     OwnerLinks& operator=(const OwnerLinks&) = delete;
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -299,7 +299,8 @@
         return discardBody(it, buf);
     it.unconsumedBytes += n;
     const auto upstream = it.upstream.lock();
-    if (upstream && it.unconsumedBytes > bodyWindowBytes)
+    const bool isFull = it.unconsumedBytes > maxShortAnswerBytes && it.handler.isFull && it.handler.isFull();
+    if (upstream && (isFull || it.unconsumedBytes > bodyWindowBytes))
         upstream->pause();
     it.handler.body(buf);
 }
@@ -325,10 +326,20 @@
         return;
     it->unconsumedBytes -= std::min(bytes, it->unconsumedBytes);
     const auto upstream = it->upstream.lock();
-    if (upstream && it->unconsumedBytes <= bodyWindowBytes / 2)
+    const bool isFull = it->unconsumedBytes > maxShortAnswerBytes && it->handler.isFull && it->handler.isFull();
+    if (upstream && !isFull && it->unconsumedBytes <= bodyWindowBytes / 2)
         upstream->resume();
 }
 
+void Owner::readOn()
+{
+    for (const auto& [id, it] : m_calls) {
+        const auto upstream = it->upstream.lock();
+        if (upstream && it->unconsumedBytes <= bodyWindowBytes)
+            upstream->resume();
+    }
+}
+
 bool Owner::appendBody(OwnerCallId id, std::string_view bytes)
 {
     ActiveCall* it = find(id);
