--- a/tests/answer_sender_test.cpp
+++ b/tests/answer_sender_test.cpp
@@ -18,7 +18,7 @@
                                                          sentBytes += evbuffer_get_length(buf);
                                                          evbuffer_drain(buf, evbuffer_get_length(buf));
                                                      },
-        [](uint64_t, const node::CallEnd&, uint64_t) { } });
+        [](uint64_t, const node::CallEnd&, uint64_t) {} });
 
     ~WaitingAnswers()
     {
