Reads of a caller that does not read its answers are started only as memory allows

Callers of a node would lose their connections when it is killed over its memory limit: a few callers that send many reads on one connection and do not read the answers had all of them run side by side, since the size of an answer is not known when its request starts, and their answers were kept in output buffers that nothing counted.

Cause: only answers that wait behind others counted against the bound of held answers; what was first in line and not read did not, and neither did what running requests would add.

Change: policy/answer_memory decides whether a request may start behind others. The first request of a connection starts as before. appletally_caller_unread_bytes shows what is unread.

Why it works: everything that may come to be kept is counted before it is asked for. Requests that do not fit wait for the answer before them and lose nothing else.

--- a/src/appletally/base/metrics_text.cpp
+++ b/src/appletally/base/metrics_text.cpp
@@ -20,6 +20,7 @@
     { "appletally_caller_answers_lost_behind_broken_total", MetricKind::Counter, "running or answered requests that ended with a connection because a large answer in front of them broke" },
     { "appletally_caller_answers_sent_unprotected_total", MetricKind::Counter, "large answers sent before they were complete although requests behind them ran, for lack of memory to hold them" },
     { "appletally_caller_held_bytes", MetricKind::Gauge, "bytes of answers that wait for the answers in front of them, and of large ones that wait for their own end" },
+    { "appletally_caller_unread_bytes", MetricKind::Gauge, "bytes of answers in this process that their callers have not read yet" },
     { "appletally_caller_body_bytes", MetricKind::Gauge, "memory of callers' large request bodies, by stage: `reserved`, and of it `received`" },
     { "appletally_caller_bodies_waiting", MetricKind::Gauge, "large request bodies that wait unread for memory" },
     { "appletally_caller_bodies_waited_total", MetricKind::Counter, "large request bodies that were not read at once for lack of memory" },
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -29,6 +29,13 @@
     // Time for a caller to read the last answer before the connection is closed.
     constexpr Duration lingerTimeout { 1000 };
 
+    // Bytes that the caller's system has not acknowledged yet. None: this system does not tell.
+    std::optional<size_t> unacknowledgedBytes(evutil_socket_t fd)
+    {
+        int n = 0;
+        return ioctl(fd, SIOCOUTQ, &n) == 0 && n >= 0 ? std::optional(static_cast<size_t>(n)) : std::nullopt;
+    }
+
     const char* reasonPhrase(int status)
     {
         return status < 300 ? "OK" : (status < 500 ? "Refused" : "Failed");
@@ -49,6 +56,7 @@
 CallerExchange::~CallerExchange()
 {
     releaseHeld();
+    releaseExpected();
     if (m_heldOutput)
         evbuffer_free(m_heldOutput);
 }
@@ -87,8 +95,21 @@
         m_connection->listener.m_heldBytes -= std::exchange(m_heldBytes, 0);
 }
 
+void CallerExchange::expectAnswer(size_t n)
+{
+    m_expectedBytes += n;
+    m_connection->listener.m_expectedBytes += n;
+}
+
+void CallerExchange::releaseExpected()
+{
+    if (m_expectedBytes > 0) // otherwise the listener may be gone
+        m_connection->listener.m_expectedBytes -= std::exchange(m_expectedBytes, 0);
+}
+
 void CallerExchange::writeHead(int status, const std::vector<HeaderField>& headers, int64_t length)
 {
+    releaseExpected();
     m_head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const HeaderField& it : headers)
         m_head += it.name + ": " + it.value + "\r\n";
@@ -184,13 +205,17 @@
         buffers, [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->onReadable(); },
         [](bufferevent*, void* self) { static_cast<CallerConnection*>(self)->onWritten(); },
         [](bufferevent*, short what, void* self) { static_cast<CallerConnection*>(self)->onEvent(what); }, this);
+    evbuffer_add_cb(
+        bufferevent_get_output(buffers), [](evbuffer*, const evbuffer_cb_info* it, void* unread) { *static_cast<size_t*>(unread) += it->n_added - it->n_deleted; }, &listener.m_unreadBytes);
     bufferevent_enable(buffers, EV_READ | EV_WRITE);
 }
 
 CallerConnection::~CallerConnection()
 {
-    if (buffers)
-        bufferevent_free(buffers);
+    if (!buffers)
+        return;
+    listener.m_unreadBytes -= evbuffer_get_length(bufferevent_get_output(buffers));
+    bufferevent_free(buffers);
 }
 
 void CallerConnection::onReadable()
@@ -331,6 +356,19 @@
     it->reply(base::info(code).httpStatus, headers, errorBody(error, true));
 }
 
+bool CallerConnection::mayStartBehindOthers(const CallerExchange& it) const
+{
+    if (listener.m_acceptingStopped || !listener.m_hooks.mayOverlap(it.m_request))
+        return false;
+    policy::AnswerMemory own { evbuffer_get_length(bufferevent_get_output(buffers)) + unacknowledgedBytes(bufferevent_getfd(buffers)).value_or(0), 0 };
+    for (const auto& exchange : queue) {
+        own.kept += exchange->m_heldBytes;
+        own.expected += exchange->m_expectedBytes;
+    }
+    const policy::AnswerMemory all { listener.m_heldBytes + listener.m_unreadBytes, listener.m_expectedBytes };
+    return policy::hasRoomBehindOthers(own, all, listener.m_limits.maxWholeAnswerBytes, listener.maxHeldBytes());
+}
+
 void CallerConnection::startQueued()
 {
     for (size_t n = 0; n < queue.size() && !dropped; ++n) {
@@ -341,9 +379,10 @@
             return;
         if (it.m_started)
             continue;
-        const bool memoryIsShort = listener.m_heldBytes >= listener.maxHeldBytes();
-        if (n > 0 && (listener.m_acceptingStopped || memoryIsShort || !listener.m_hooks.mayOverlap(it.m_request)))
+        if (n > 0 && !mayStartBehindOthers(it))
             return; // nor may the requests after it start: they may depend on it
+        if (n > 0)
+            it.expectAnswer(listener.m_limits.maxWholeAnswerBytes);
         it.m_started = true;
         listener.m_hooks.onRequest(it); // may answer immediately, which shortens the queue
         n = static_cast<size_t>(-1);
@@ -474,13 +513,6 @@
     event_active(listener.m_deleteClosedEvent, 0, 0);
 }
 
-// Bytes that the caller's system has not acknowledged yet. None: this system does not tell.
-static std::optional<size_t> unacknowledgedBytes(evutil_socket_t fd)
-{
-    int n = 0;
-    return ioctl(fd, SIOCOUTQ, &n) == 0 && n >= 0 ? std::optional(static_cast<size_t>(n)) : std::nullopt;
-}
-
 // An answer is delivered once the caller has it, not once it has left this process: on a congested link it waits in the
 // system's buffers, and a close would reset the connection.
 bool CallerConnection::timedOut(base::Time now)
--- a/src/appletally/http/caller_connection.h
+++ b/src/appletally/http/caller_connection.h
@@ -37,6 +37,7 @@
     void addBody(evbuffer*);
     bool addLargeBody(evbuffer*); // false: the request was rejected
     void reject(base::Code, const std::string& text, base::Duration retryAfter = {}); // answers with an error and closes
+    bool mayStartBehindOthers(const CallerExchange&) const;
     void startQueued(); // passes every queued request that may run now to the node
     void answered(); // the answer of a queued exchange is complete
     void onNewFront(); // the exchange at the front has changed; its answer may have begun already
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -19,7 +19,8 @@
 // A large body is read only once there is memory for all of it (policy/body_memory.h). Until then its connection is not read,
 // so that TCP pauses the caller, and after `bodyWaitTimeout` the request is refused. Small bodies never wait.
 //
-// A caller that sends many requests and does not read their answers is not served further until it reads.
+// A caller that sends many requests and does not read their answers is not served further until it reads. What it has not
+// read yet, and what its running requests may add, counts when a request starts behind others (policy/answer_memory.h).
 //
 // All held answers together are limited to `maxHeldBytes`. Above it nothing is started behind others, held streams pause,
 // and a stream that is due is sent although requests run behind it (`sentUnprotected`).
@@ -30,6 +31,7 @@
 #include "appletally/base/result.h"
 #include "appletally/http/header.h"
 #include "appletally/http/large_body.h"
+#include "appletally/policy/answer_memory.h"
 
 #include <deque>
 #include <event2/buffer.h>
@@ -53,6 +55,7 @@
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
     size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; see the head comment for what happens above it
     base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
+    size_t maxWholeAnswerBytes = 0; // of answers passed to reply(), as far as the listener's user bounds them; 0: not counted in advance
     base::Duration receiveTimeout { 10000 }; // from a request's first byte to its last
     base::Duration idleTimeout { 60000 }; // between requests
     base::Duration stallTimeout { 15000 }; // a caller that reads no byte of its answer for this long is disconnected
@@ -119,12 +122,15 @@
     void countHeld(size_t bytes);
     void releaseHeld(); // the held output is empty now
 
+    void expectAnswer(size_t bytes);
+    void releaseExpected(); // the answer has begun, or none will come
     CallerRequest m_request;
     CallerConnection* m_connection = nullptr;
     std::string m_head; // until it is sent; without "Connection" and the empty line, see CallerConnection::sendHead()
     evbuffer* m_heldOutput = nullptr; // body bytes held back, see CallerConnection::writeFront()
     size_t m_heldBytes = 0; // counted in CallerListener::m_heldBytes
     bool m_callerKeepsAlive = true; // the caller keeps the connection open after this request
+    size_t m_expectedBytes = 0; // counted in CallerListener::m_expectedBytes
     bool m_isHttp10 = false; // HTTP/1.0: no chunked encoding
     bool m_started = false; // passed to the node
     bool m_chunked = false;
@@ -163,6 +169,7 @@
     const ListenerCounts& counts() const { return m_counts; }
     size_t heldBytes() const { return m_heldBytes; } // of answers that wait behind others
     const policy::BodyMemory& bodyMemory() const { return *m_bodyMemory; }
+    size_t unreadBytes() const { return m_unreadBytes; } // of answers that callers have not read
     size_t waitingBodies() const { return m_waitingBodies.size(); }
 
 private:
@@ -192,6 +199,8 @@
     size_t m_heldBytes = 0; // of all exchanges
     bool m_draining = false;
     bool m_acceptingStopped = false;
+    size_t m_expectedBytes = 0; // of all exchanges
+    size_t m_unreadBytes = 0; // in the output buffers of all connections
 };
 
 // JSON body of an error answer produced by this process.
--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -17,7 +17,7 @@
     , m_claims(&claims)
     , m_suspectRequests(&suspectRequests)
     , m_listener(
-          loop, m_settings.limits,
+          loop, limitsOf({}),
           { [this](const http::CallerRequest& request) { return bodyLimit(request); },
               [this](const http::CallerRequest& request) {
                   const config::Route* route = routeOf(request);
@@ -61,6 +61,7 @@
 http::ListenerLimits Ingress::limitsOf(const config::CallerLimits& agreed) const
 {
     http::ListenerLimits out = m_settings.limits;
+    out.maxWholeAnswerBytes = maxBufferedAnswerBytes;
     out.maxHeaderBytes = agreed.header.count > 0 ? agreed.header.count : out.maxHeaderBytes;
     out.maxBodyBytes = agreed.body.count > 0 ? agreed.body.count : out.maxBodyBytes;
     out.headerTimeout = agreed.headerTime.ms > 0 ? agreed.headerTime : out.headerTimeout;
@@ -172,6 +173,7 @@
     count("appletally_caller_answers_lost_behind_broken_total", "", in.lostBehindAborted);
     count("appletally_caller_answers_sent_unprotected_total", "", in.sentUnprotected);
     count("appletally_caller_held_bytes", "", m_listener.heldBytes());
+    count("appletally_caller_unread_bytes", "", m_listener.unreadBytes());
     std::map<std::string, size_t> states;
     for (const auto& [host, it] : m_endpoints)
         ++states[config::stateName(it.state)];
