A large body after a burst of small requests is taken

After a burst of small requests, callers of a node got 413 for bodies of 40 MB that it takes when idle, for as long as the process lived: each proper request was denied although nothing ran.

Cause, two faults. (1) What the allocator had kept of the burst counted as use by others, so that bodies had no room. (2) "No room even when idle" was judged by the least use at moments when a body came, and the first body came after the burst.

Change: where a body has no room, the process returns free memory to the system first, at most each 200 ms. What it uses when a configuration is applied counts as a moment without load too.

Why it works: the resident memory then tells what is in use, and a body is refused for good only if it exceeds what was free before any load.

The fixture of the tests returns free memory before it measures, as a node now does so in their middle.

--- a/src/appletally/http/caller_listener.cpp
+++ b/src/appletally/http/caller_listener.cpp
@@ -15,6 +15,7 @@
 
 constexpr int listenBacklog = 1024; // many callers reconnect at once when a neighbouring node fails
 constexpr base::Duration sweepInterval { 250 }; // a timeout is detected at most this much late
+constexpr base::Duration releaseInterval { 200 }; // of free memory, while large bodies have no room
 
 CallerListener::CallerListener(event_base* loop, ListenerLimits limits, Hooks hooks)
     : m_loop(loop)
@@ -81,7 +82,15 @@
 policy::BodyRoom CallerListener::reserveBody(uint64_t bytes)
 {
     m_bodyMemory->processBytes = m_limits.memoryBytes;
-    return policy::reserveBody(*m_bodyMemory, bytes, m_limits.memoryBytes > 0 ? residentBytes() : 0);
+    if (m_limits.memoryBytes == 0)
+        return policy::reserveBody(*m_bodyMemory, bytes, 0);
+    const policy::BodyRoom room = policy::reserveBody(*m_bodyMemory, bytes, residentBytes());
+    const base::Time now = base::steadyNow();
+    if (room == policy::BodyRoom::Free || (m_memoryReleasedAt && now - *m_memoryReleasedAt < releaseInterval))
+        return room;
+    m_memoryReleasedAt = now;
+    releaseFreeMemory();
+    return policy::reserveBody(*m_bodyMemory, bytes, residentBytes());
 }
 
 size_t CallerListener::maxHeldBytes() const
@@ -101,7 +110,12 @@
     }
 }
 
-void CallerListener::setLimits(const ListenerLimits& limits) { m_limits = limits; }
+void CallerListener::setLimits(const ListenerLimits& limits)
+{
+    m_limits = limits;
+    if (limits.memoryBytes > 0)
+        policy::observeOtherUse(*m_bodyMemory, residentBytes());
+}
 
 void CallerListener::setDraining(bool it) { m_draining = it; }
 
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -38,6 +38,7 @@
 #include <event2/event.h>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,8 +55,8 @@
     base::Duration bodyWaitTimeout { 500 }; // for memory; then the request is refused
     size_t maxConnections = 4000; // at about 10 KB each they fit in the node's memory
     size_t maxHeldBytes = 16 * 1024 * 1024; // of all answers that wait behind others; see the head comment for what happens above it
-    base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
     size_t maxWholeAnswerBytes = 0; // of answers passed to reply(), as far as the listener's user bounds them; 0: not counted in advance
+    base::Duration headerTimeout { 10000 }; // from a request's first byte to the end of its head
     base::Duration receiveTimeout { 10000 }; // from a request's first byte to its last
     base::Duration idleTimeout { 60000 }; // between requests
     base::Duration stallTimeout { 15000 }; // a caller that reads no byte of its answer for this long is disconnected
@@ -121,16 +122,16 @@
     void hold(evbuffer*); // appends to the held output
     void countHeld(size_t bytes);
     void releaseHeld(); // the held output is empty now
-
     void expectAnswer(size_t bytes);
     void releaseExpected(); // the answer has begun, or none will come
+
     CallerRequest m_request;
     CallerConnection* m_connection = nullptr;
     std::string m_head; // until it is sent; without "Connection" and the empty line, see CallerConnection::sendHead()
     evbuffer* m_heldOutput = nullptr; // body bytes held back, see CallerConnection::writeFront()
     size_t m_heldBytes = 0; // counted in CallerListener::m_heldBytes
-    bool m_callerKeepsAlive = true; // the caller keeps the connection open after this request
     size_t m_expectedBytes = 0; // counted in CallerListener::m_expectedBytes
+    bool m_callerKeepsAlive = true; // the caller keeps the connection open after this request
     bool m_isHttp10 = false; // HTTP/1.0: no chunked encoding
     bool m_started = false; // passed to the node
     bool m_chunked = false;
@@ -168,8 +169,8 @@
     const ListenerLimits& limits() const { return m_limits; }
     const ListenerCounts& counts() const { return m_counts; }
     size_t heldBytes() const { return m_heldBytes; } // of answers that wait behind others
-    const policy::BodyMemory& bodyMemory() const { return *m_bodyMemory; }
     size_t unreadBytes() const { return m_unreadBytes; } // of answers that callers have not read
+    const policy::BodyMemory& bodyMemory() const { return *m_bodyMemory; }
     size_t waitingBodies() const { return m_waitingBodies.size(); }
 
 private:
@@ -195,12 +196,13 @@
     std::vector<std::unique_ptr<CallerExchange>> m_endedExchanges;
     ListenerCounts m_counts;
     std::shared_ptr<policy::BodyMemory> m_bodyMemory; // of large bodies, which may outlive their exchanges
+    std::optional<base::Time> m_memoryReleasedAt;
     std::deque<CallerConnection*> m_waitingBodies; // connections whose request waits for memory
     size_t m_heldBytes = 0; // of all exchanges
-    bool m_draining = false;
-    bool m_acceptingStopped = false;
     size_t m_expectedBytes = 0; // of all exchanges
     size_t m_unreadBytes = 0; // in the output buffers of all connections
+    bool m_draining = false;
+    bool m_acceptingStopped = false;
 };
 
 // JSON body of an error answer produced by this process.
--- a/src/appletally/http/large_body.cpp
+++ b/src/appletally/http/large_body.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <cstring>
+#include <malloc.h>
 #include <sys/mman.h>
 #include <unistd.h>
 #include <xxhash.h>
@@ -60,4 +61,6 @@
     return n == 1 ? pages * static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) : 0;
 }
 
+void releaseFreeMemory() { malloc_trim(0); }
+
 } // namespace appletally::http
--- a/src/appletally/http/large_body.h
+++ b/src/appletally/http/large_body.h
@@ -44,4 +44,7 @@
 
 uint64_t residentBytes(); // of this process; 0: the system does not tell
 
+// Returns memory that the allocator has kept after its use to the system; costs milliseconds where it has kept much.
+void releaseFreeMemory();
+
 } // namespace appletally::http
--- a/src/appletally/policy/body_memory.cpp
+++ b/src/appletally/policy/body_memory.cpp
@@ -8,6 +8,10 @@
 
 constexpr uint64_t leastBodyWindow = 16 * 1024;
 
+static uint64_t otherUse(const BodyMemory& it, uint64_t residentBytes) { return residentBytes - std::min(residentBytes, it.received); }
+
+void observeOtherUse(BodyMemory& it, uint64_t residentBytes) { it.leastOtherBytes = std::min(it.leastOtherBytes, otherUse(it, residentBytes)); }
+
 BodyRoom reserveBody(BodyMemory& it, uint64_t bytes, uint64_t residentBytes)
 {
     if (it.processBytes == 0) {
@@ -16,8 +20,8 @@
     }
     const uint64_t usable = it.processBytes / 4 * usableQuarters;
     const uint64_t resident = residentBytes > 0 ? residentBytes : it.processBytes / 4 + it.received;
-    const uint64_t other = resident - std::min(resident, it.received);
-    it.leastOtherBytes = std::min(it.leastOtherBytes, other);
+    const uint64_t other = otherUse(it, resident);
+    observeOtherUse(it, resident);
     if (bytes > usable - std::min(usable, it.leastOtherBytes))
         return BodyRoom::Never;
     if (it.reserved + other + bytes > usable)
--- a/src/appletally/policy/body_memory.h
+++ b/src/appletally/policy/body_memory.h
@@ -24,6 +24,8 @@
 // `residentBytes`: what the process uses now, including received bodies; 0: not known. After Free, the caller must return
 // the bytes with releaseBody().
 BodyRoom reserveBody(BodyMemory&, uint64_t bytes, uint64_t residentBytes);
+// What the process uses at a moment without load tells which bodies are impossible; the first body may come in a burst.
+void observeOtherUse(BodyMemory&, uint64_t residentBytes);
 void releaseBody(BodyMemory&, uint64_t reserved, uint64_t received);
 
 // The part of a body that an owner requests from a caller's node in advance. All slots together hold at most a sixteenth of
--- a/tests/large_body_test.cpp
+++ b/tests/large_body_test.cpp
@@ -285,6 +285,7 @@
 struct SmallMesh : UploadMesh {
     explicit SmallMesh(uint64_t bytes)
     {
+        http::releaseFreeMemory(); // of earlier tests in this process; the node would do so later
         mesh.memoryBytes = (http::residentBytes() + bytes) / 3 * 4;
         b = &mesh.addNode("small", "z2");
         start();
@@ -354,3 +355,34 @@
     REQUIRE(it.mesh.run([&] { return hasStatus(*impossible, "413"); }));
     CHECK(it.upstream.runs == 0);
 }
+
+TEST_CASE("a large body after a burst of small requests is taken", "[node][large-body]")
+{
+    // Guards against refusing large bodies for good because of free memory that the allocator keeps after a burst.
+    SmallMesh it(24 * megabyte);
+    const uint64_t before = http::residentBytes();
+    std::vector<std::string> kept;
+    {
+        std::vector<std::string> burst;
+        for (int n = 0; n < 1000; ++n) {
+            burst.push_back(bytesOf(20'000));
+            kept.push_back(bytesOf(100)); // between them, so that the heap does not shrink
+        }
+    }
+    REQUIRE(http::residentBytes() > before + 15 * megabyte);
+    const auto upload = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    CHECK(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 0; }));
+    CHECK(upload->body.empty());
+}
+
+TEST_CASE("a large body that comes first in a burst waits, and is not refused as impossible", "[node][large-body]")
+{
+    // Guards against judging by what the process uses in a burst which bodies have no room even when it is idle.
+    SmallMesh it(24 * megabyte);
+    auto burst = std::make_unique<std::string>(20 * megabyte, 'x');
+    const auto upload = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_bodies_waiting") == 1; }));
+    burst.reset();
+    CHECK(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 0; }));
+    CHECK(upload->body.empty());
+}
