--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -47,6 +47,7 @@
     // Makes control keep that this upstream process leaves. `done` is called later: true once a control process holds it;
     // false after leavingHeldTimeout, and the upstream must not get an acknowledgement.
     void recordLeaving(const config::LeavingUpstream&, std::function<void(bool held)> done);
+    bool hasUpstream() const { return m_owner.upstream().has_value(); } // false also after its announcement has expired
     const std::optional<config::LeavingUpstream>& lastLeaving() const { return m_leaving; } // also of an earlier process of this node
     // False: what an earlier process of this node has acknowledged is not known yet.
     bool historyKnown() const { return m_historyKnown; }
--- a/tests/foreign_heartbeat_test.cpp
+++ b/tests/foreign_heartbeat_test.cpp
@@ -28,3 +28,41 @@
     CHECK(it.statusOf(it.post("Heartbeat", "i-1", 2000, 1, "ready", { { "service", "plug-control" } })) == 200); // a later start of the backend
     CHECK(it.lastRecord().service.text == "plug-control");
 }
+
+TEST_CASE("a heartbeat with a sequence or a start far ahead does not silence the backend for good", "[platform][foreign-heartbeat]")
+{
+    // Guards against a living backend that stays out of service because of one message of another writer.
+    PlatformNode it;
+    it.mesh.announcementTimeout = { 800 };
+    it.restart();
+    it.tell(inner::EndpointListRead {});
+    REQUIRE(it.heartbeat("i-1", 1000, 7) == 200);
+    SECTION("a sequence far ahead") { CHECK(it.heartbeat("i-1", 1000, 1'000'000) == 200); }
+    SECTION("a start far ahead, of another id") { CHECK(it.heartbeat("i-9", 9'000'000'000'000, 1) == 200); }
+    REQUIRE(it.mesh.run([&] { return !it.isReady(); }));
+    CHECK(it.heartbeat("i-1", 1000, 8) == 200);
+    CHECK_FALSE(it.isReady()); // it may be a late one
+    it.mesh.runFor(base::Duration { 550 });
+    CHECK(it.heartbeat("i-1", 1000, 9) == 200);
+    CHECK(it.isReady());
+    CHECK(it.heartbeat("i-1", 1000, 10) == 200);
+    CHECK(it.isReady());
+}
+
+TEST_CASE("a backend that has left is not brought back by two late heartbeats once its announcement has expired", "[platform][foreign-heartbeat]")
+{
+    // Guards against taking what a backend sent before it left for a backend that another writer has silenced.
+    PlatformNode it;
+    it.mesh.announcementTimeout = { 300 };
+    it.restart();
+    it.tell(inner::EndpointListRead {});
+    REQUIRE(it.heartbeat("i-1", 1000, 7) == 200);
+    const std::string call = GENERATE("Deregister", "Heartbeat");
+    it.post(call, "i-1", 1000, 9, "draining");
+    REQUIRE(it.mesh.run([&] { return !it.isReady(); }));
+    it.mesh.runFor(base::Duration { 600 });
+    CHECK(it.heartbeat("i-1", 1000, 6) == 200);
+    it.mesh.runFor(base::Duration { 550 });
+    CHECK(it.heartbeat("i-1", 1000, 8) == 200);
+    CHECK_FALSE(it.isReady());
+}
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -131,6 +131,7 @@
     settings.callers = settings.inner = settings.announce = settings.operators = base::parseAddress(anyPort).value();
     settings.limits = limits;
     settings.memoryBytes = memoryBytes;
+    settings.announcementTimeout = announcementTimeout;
     settings.drainTime = { 100 };
     settings.gracefulShutdownTimeout = gracefulShutdownTimeout;
     auto& it = m_nodes[host];
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -94,6 +94,7 @@
     appletally::http::ListenerLimits limits;
     uint64_t memoryBytes = 0; // of nodes added from now on; 0: not bounded
     appletally::base::Duration gracefulShutdownTimeout { 30000 }; // of nodes added from now on
+    appletally::base::Duration announcementTimeout { 3000 }; // of nodes added from now on
     TestRollout rollout;
     std::set<appletally::base::ZoneName> evacuatedZones; // in the next snapshot
     std::function<void(appletally::config::Snapshot&)> edit; // of the next snapshot; may be empty
