An answer without a length whose connection is reset during an upload is not complete

Cause: the write meets the reset and clears the socket's error, so that the next read finds an orderly end. The connection's callbacks are deferred and report both at once; an end together with an error was taken for an orderly end.

Change: an end that comes with an error is none.

Looked at, as the same cause may stand wherever a connection's end is judged: callers' connections and links between nodes end the same way on either event; links tell the end of an answer in a message of its own.

Large bodies made this path common: they are written while the answer arrives.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -180,13 +180,14 @@
     if (onDialed && !call)
         return onDialedClosed(what);
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
-        onClosed((what & BEV_EVENT_EOF) != 0);
+        onClosed((what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0);
 }
 
 void UpstreamConnection::onDialedIdle()
 {
     idleTimeout = client.m_limits.maxIdleTimeUnused;
     client.keepIdle(*this);
+    // A reset that a write has met lets the next read find an orderly end; deferred callbacks report both at once.
     if (!onDialed)
         return;
     settleTimer = event_new(
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -7,6 +7,7 @@
 #include <event2/listener.h>
 #include <functional>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 using namespace appletally;
 
@@ -363,6 +364,7 @@
     uint64_t requested = 0;
     int status = 0;
     bool ended = false;
+    bool succeeded = false;
 
     Upload(http::UpstreamClient& client, const std::string& id)
     {
@@ -374,7 +376,10 @@
         request.bodyWindow = windowBytes;
         http::UpstreamHandler handler;
         handler.head = [this](const http::AnswerHead& head) { status = head.status; };
-        handler.end = [this](const http::AnswerEnd&) { ended = true; };
+        handler.end = [this](const http::AnswerEnd& it) {
+            ended = true;
+            succeeded = !it.error;
+        };
         handler.wantBody = [this](uint64_t n) {
             requested += n;
             call->appendBody(std::string(n, 'x'));
@@ -415,3 +420,24 @@
     TestCall next(client, "2");
     REQUIRE(upstream.run([&] { return upstream.hasReceived(1, "GET /2"); }));
 }
+
+TEST_CASE("an answer without a length is not complete if its connection is reset during the upload", "[upstream-client][large-body]")
+{
+    // Guards against a part of an answer that passes for the whole: the reset shows in what is written, the end in what is read.
+    ScriptedUpstream upstream;
+    const bool afterHead = GENERATE(false, true);
+    for (size_t n = 0; n < 30; ++n) {
+        http::UpstreamClient client(upstream.loop, upstream.address);
+        Upload upload(client, "1");
+        REQUIRE(upstream.run([&] { return upstream.connections.size() == n + 1; }));
+        bufferevent_disable(upstream.connections[n], EV_READ);
+        REQUIRE(upstream.run([&] { return upload.requested > windowBytes; }));
+        const std::string part = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\na part";
+        REQUIRE(send(bufferevent_getfd(upstream.connections[n]), part.data(), part.size(), 0) == static_cast<ssize_t>(part.size()));
+        if (afterHead)
+            REQUIRE(upstream.run([&] { return upload.status == 200; }));
+        upstream.close(n, true);
+        REQUIRE(upstream.run([&] { return upload.ended; }));
+        CHECK_FALSE(upload.succeeded);
+    }
+}
