An answer with an impossible status is an error at once

Cause: the parser takes any three digits, and the client took everything below 200 for interim.

Change: a status below 100 or above 599 is no answer in the protocol; the request fails or is tried again like after other bytes that are none.

--- a/src/appletally/http/message_reader.cpp
+++ b/src/appletally/http/message_reader.cpp
@@ -158,8 +158,11 @@
                 it.problem = "tunnels and protocol upgrades are not supported";
             if (it.head.target.empty() || it.head.target.front() != '/')
                 it.problem = "request target is not a path";
-        } else
+        } else {
             it.head.status = static_cast<int>(it.parser.status_code);
+            if (it.head.status < 100 || it.head.status > 599)
+                it.problem = "impossible status";
+        }
         if (!it.problem.empty())
             return ReadStep::Malformed;
         const bool chunked = (it.parser.flags & F_CHUNKED) != 0;
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -441,3 +441,31 @@
         CHECK_FALSE(upload.succeeded);
     }
 }
+
+TEST_CASE("an answer with an impossible status is an error at once", "[upstream-client]")
+{
+    // Guards against passing on what no caller can read as an answer, and against waiting for another answer behind it.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    const std::string status = GENERATE("000", "007", "099", "600", "999");
+    TestCall odd(client, "a");
+    REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /a"); }));
+    upstream.sendBytes(0, "HTTP/1.1 " + status + " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno");
+    REQUIRE(upstream.run([&] { return odd.end.has_value(); }, base::Duration { 1000 }));
+    CHECK(odd.code() == base::Code::InvalidUpstreamAnswer);
+    CHECK(odd.status == 0);
+}
+
+TEST_CASE("an answer with a blank or a control byte in a field's name is an error", "[upstream-client]")
+{
+    // Guards against passing on a line that other programs read as another field, or as the end of the head.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    const std::string name = GENERATE("X Field", "X-Field ", "X\tField", "X\x01Field", "X\x7f", "Content-Length ");
+    TestCall odd(client, "a");
+    REQUIRE(upstream.run([&] { return upstream.hasReceived(0, "GET /a"); }));
+    upstream.sendBytes(0, "HTTP/1.1 200 OK\r\nX-Id: a\r\n" + name + ": 5\r\nContent-Length: 2\r\n\r\nno");
+    REQUIRE(upstream.run([&] { return odd.end.has_value(); }, base::Duration { 1000 }));
+    CHECK(odd.code() == base::Code::InvalidUpstreamAnswer);
+    CHECK(odd.status == 0);
+}
