The check whether an upstream listens reads an end that has arrived before it answers

Cause: the time within which a new connection must close and the callback that tells of the close come in one turn of a late loop; the callback is deferred and runs after the timer.

Change: the timer looks whether the connection has ended; then it leaves the verdict to the callback.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <charconv>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -40,6 +41,13 @@
         return out;
     }
 
+    bool hasEnded(evutil_socket_t fd)
+    {
+        char next = 0;
+        const ssize_t n = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+    }
+
     std::string headOf(const UpstreamRequest& request)
     {
         std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
@@ -179,6 +187,7 @@
     }
     if (onDialed && !call)
         return onDialedClosed(what);
+    // A reset that a write has met lets the next read find an orderly end; deferred callbacks report both at once.
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
         onClosed((what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0);
 }
@@ -187,12 +196,14 @@
 {
     idleTimeout = client.m_limits.maxIdleTimeUnused;
     client.keepIdle(*this);
-    // A reset that a write has met lets the next read find an orderly end; deferred callbacks report both at once.
     if (!onDialed)
         return;
     settleTimer = event_new(
         client.m_loop, -1, 0, [](evutil_socket_t, short, void* arg) {
-            const auto done = std::exchange(static_cast<UpstreamConnection*>(arg)->onDialed, {});
+            auto* self = static_cast<UpstreamConnection*>(arg);
+            if (hasEnded(bufferevent_getfd(self->buffers)))
+                return; // the callback that tells of it is deferred, and comes after this timer where the loop is late
+            const auto done = std::exchange(self->onDialed, {});
             if (done)
                 done(true);
         },
--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -21,6 +21,7 @@
     std::vector<bufferevent*> connections; // in the order in which they were accepted
     std::vector<std::string> received; // on each connection
     bool ending = false; // closes the next connection as soon as it is accepted, then its listening socket
+    base::Duration stall; // of the loop, after that
 
     ScriptedUpstream()
     {
@@ -47,7 +48,10 @@
     {
         if (ending) {
             evutil_closesocket(fd);
-            return evconnlistener_free(std::exchange(listener, nullptr));
+            evconnlistener_free(std::exchange(listener, nullptr));
+            const base::Time end = base::steadyNow() + stall;
+            while (base::steadyNow() < end) { }
+            return;
         }
         bufferevent* made = bufferevent_socket_new(loop, fd, BEV_OPT_CLOSE_ON_FREE);
         connections.push_back(made);
@@ -339,6 +343,19 @@
     CHECK(listening == false);
 }
 
+TEST_CASE("a process that closes a new connection counts as ended also where the loop is late", "[upstream-client]")
+{
+    // Guards against a check whose time is over before the end that has arrived is read.
+    ScriptedUpstream upstream;
+    http::UpstreamClient client(upstream.loop, upstream.address);
+    upstream.ending = true;
+    upstream.stall = { 20 };
+    std::optional<bool> listening;
+    client.checkListening([&](bool it) { listening = it; });
+    REQUIRE(upstream.run([&] { return listening.has_value(); }));
+    CHECK_FALSE(*listening);
+}
+
 TEST_CASE("a process that goes on listening does not count as ended, and the connection serves the next request", "[upstream-client]")
 {
     ScriptedUpstream upstream;
