Tests: the relay between two nodes holds no small messages back

Cause, traced in a failed run: nothing was lost or stuck. The relay was empty in both directions, 18 answers waited at the owner, and its window stood at the least, 16 KB: the sockets of the test's relay held acknowledgements back until earlier ones were acknowledged (Nagle's algorithm and delayed acknowledgements, 40 ms), the pacing took that for a queue on the link, and 6 MB took longer than the five seconds of the test. The product's links are set not to do so, in both directions.

Change: the relay's sockets are set like those of the links that they stand for. The checks are as they were.

--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -10,6 +10,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <event2/listener.h>
+#include <netinet/tcp.h>
 
 using namespace appletally;
 
@@ -244,6 +245,10 @@
         }
         const sockaddr_in to = loopback(target.port);
         bufferevent_socket_connect(server, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        for (bufferevent* it : { client, server }) { // a network holds no small messages back until others are acknowledged
+            const int one = 1;
+            setsockopt(bufferevent_getfd(it), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        }
     }
 
     bufferevent* other(bufferevent* it) const { return it == client ? server : client; }
