Tests: two breaks of a download, whichever upstream each request goes to

Cause, traced in failed runs: the requests go to either of two upstreams by chance. Where four of the first five went to the one that breaks its answers, the fourth retry exceeded the retry budget, and that caller got 502, as it must. A second chance of failure was that no request goes there at all.

Change: the test sends requests until two have met a break, which the budget certainly allows; it checks each as before, and that there were two.

--- a/tests/pipelined_answers_test.cpp
+++ b/tests/pipelined_answers_test.cpp
@@ -88,7 +88,7 @@
     it.commands.hold = true;
     it.downloads.truncatesAnswers = true; // the other upstream is sound
     it.downloads.bodyBytes = largeAnswerBytes / 2; // the break comes within the window of an answer that is held back
-    for (int n = 0; n < 6; ++n) { // whichever upstream comes first
+    for (int n = 0; n < 40 && it.downloads.runs < 2; ++n) { // as many breaks as the retry budget certainly allows
         const int runs = it.downloadRuns();
         const auto answers = it.send(command + lastDownload);
         REQUIRE(it.mesh.run([&] { return it.downloadRuns() > runs && it.commands.held.size() == 1; }));
@@ -99,7 +99,7 @@
         CHECK(countOf(answers->body, "HTTP/1.1 200") == 2);
         CHECK(std::count(answers->body.begin(), answers->body.end(), 'x') >= static_cast<std::ptrdiff_t>(largeAnswerBytes));
     }
-    CHECK(it.downloads.runs > 0);
+    CHECK(it.downloads.runs == 2);
 }
 
 // Guards against the same loss when no upstream is left for the broken answer, which must end as a failure of its own.
