A node that starts after its clock was set back outranks its previous process

Callers of a host would be without it for up to a minute: its node restarts after the time of day was set back by more than the restart takes, and no other process takes the new records for news until control drops those of the process before (8 s to expire, 60 s as a tombstone).

Cause: the start number of a node is its time of day, and the higher one wins.

Change: the node reads its own host's record with the list of endpoints, as it does for an acknowledged leaving, and raises its number above a higher one; once only, so that two processes with one host's name do not outbid each other.

Not changed, read only: claims order the starts of their keepers the same way, where a lower number only costs refusals; the number in reports of answers is compared for equality.

--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -134,13 +134,27 @@
         onSuspectRequestsTold(it.suspects);
         if (it.host != m_settings.membership.host)
             others.push_back(it); // for its own upstream, the node's local state is newer
-        else
+        else {
+            outrankPrevious(it.incarnation);
             learnLeaving(it.leaving);
+        }
     }
     m_ingress.setEndpoints(others);
     openIngressIfReady();
 }
 
+// The time of day may have been set back since this host's previous process started; its records would count as later for as
+// long as control keeps them. Once only: two processes with the name of one host must not outbid each other.
+void Node::outrankPrevious(base::Incarnation known)
+{
+    if (m_outranked || !(m_incarnation < known))
+        return;
+    m_outranked = true;
+    m_incarnation = { known.value + 1 };
+    if (m_owner.upstream())
+        announceEndpoint();
+}
+
 // May come after the list of endpoints: control processes tell each other with a delay.
 void Node::learnLeaving(const std::optional<config::LeavingUpstream>& told)
 {
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -75,6 +75,7 @@
     void relaySuspectRequest(const config::SuspectRequest&);
     bool isPassedOn(const config::SuspectRequest&) const; // over links, besides through control
     void openIngressIfReady();
+    void outrankPrevious(base::Incarnation known);
     void learnLeaving(const std::optional<config::LeavingUpstream>&);
     void finishLeaving(const std::function<std::optional<bool>(const PendingLeaving&)>& outcome);
     void onTick();
@@ -85,7 +86,8 @@
     NodeSettings m_settings;
     base::Channel<inner::ToNode>* m_fromControl;
     ToControl m_toControl;
-    base::Incarnation m_incarnation;
+    base::Incarnation m_incarnation; // of the endpoint record; others of this host's earlier processes are lower
+    bool m_outranked = false; // m_incarnation was raised above that of an earlier process
     base::Sequence m_sequence;
     std::optional<config::LeavingUpstream> m_leaving;
     std::vector<PendingLeaving> m_pendingLeaving;
