Tests: short calls pass an upload on a full link

Each read may wait for what the owner has asked for in advance, a window of 256 KB; the bound is twice that at the rate of the very run.

--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -269,12 +269,14 @@
             ::shutdown(bufferevent_getfd(other(from)), SHUT_WR);
     }
     // Bytes of the target's answers that pass in a second.
-    void setRate(size_t bytesPerSecond)
+    void setRate(size_t bytesPerSecond) { limitReading(server, bytesPerSecond); }
+    void setRateToTarget(size_t bytesPerSecond) { limitReading(client, bytesPerSecond); }
+    void limitReading(bufferevent* from, size_t bytesPerSecond)
     {
         constexpr size_t ticksPerSecond = 500;
         const timeval tick { 0, 1'000'000 / ticksPerSecond };
         ev_token_bucket_cfg* rate = ev_token_bucket_cfg_new(bytesPerSecond / ticksPerSecond, bytesPerSecond / ticksPerSecond, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
-        bufferevent_set_rate_limit(server, rate);
+        bufferevent_set_rate_limit(from, rate);
         rateLimit.reset(rate);
     }
     void setPaused(bool paused) { paused ? bufferevent_disable(server, EV_READ) : bufferevent_enable(server, EV_READ); }
@@ -416,6 +418,36 @@
     CHECK(nodes.owner.node->metrics().find("appletally_answer_waiting_bytes 0\n") != std::string::npos);
 }
 
+// Guards against calls that wait for a whole body because they share its link.
+TEST_CASE("short calls wait for no more than the window of an upload on a full link", "[edge][large-body]")
+{
+    constexpr size_t uploadBytes = 2'000'000;
+    NodesWithRelay nodes;
+    nodes.mesh.edit = [](config::Snapshot& it) {
+        it.callerLimits.body = { 8'000'000 };
+        config::Route& archive = it.routes.at({ "consumption-archive" });
+        archive.method = "POST";
+        archive.maxRequestBody = it.callerLimits.body;
+    };
+    nodes.mesh.applyEverywhere("examples/berthgrid.json");
+    nodes.relay.setRateToTarget(2'000'000);
+    const base::Time begin = base::steadyNow();
+    const auto upload = nodes.mesh.ask(nodes.ingress, "POST", "/archive/1", {}, std::string(uploadBytes, 'x'));
+    base::Duration slowest;
+    int reads = 0;
+    for (; !upload->done; ++reads) {
+        const base::Time sent = base::steadyNow();
+        const auto read = nodes.mesh.ask(nodes.ingress, "GET", "/berths/" + std::to_string(reads));
+        REQUIRE(nodes.mesh.run([&] { return read->done; }));
+        CHECK(read->status == 200);
+        slowest = std::max(slowest, base::steadyNow() - sent);
+    }
+    CHECK(upload->status == 200);
+    CHECK(reads > 10);
+    const base::Duration perWindow { (base::steadyNow() - begin).ms * static_cast<int64_t>(node::bodyWindowBytes) / static_cast<int64_t>(uploadBytes) };
+    CHECK(slowest.ms < 2 * perWindow.ms);
+}
+
 // Guards against a read that is given up after a second of silence although nothing else can answer it: its upstream is at
 // work, its node's link is congested, and there is no other upstream, or none that takes it.
 TEST_CASE("a read goes on over a silent link unless another upstream answers it", "[edge]")
