Tests: heartbeats that cannot be read do not stop a node

Here such heartbeats were refused by reading the code; nothing showed it.

The test sends nine of them to a node whose backend is ready. All are answered 400, the backend stays ready, and its next own heartbeat is taken. It passes without a change of the product.

--- a/tests/foreign_heartbeat_test.cpp
+++ b/tests/foreign_heartbeat_test.cpp
@@ -66,3 +66,21 @@
     CHECK(it.heartbeat("i-1", 1000, 8) == 200);
     CHECK_FALSE(it.isReady());
 }
+
+TEST_CASE("heartbeats that cannot be read are refused, and the backend goes on", "[platform][foreign-heartbeat]")
+{
+    // Guards against a node that ends, or stops to follow its backend, because of one odd message of another writer.
+    PlatformNode it;
+    it.tell(inner::EndpointListRead {});
+    REQUIRE(it.heartbeat("i-1", 1000, 7) == 200);
+    const std::string sound = R"({"service":"berth-data","zone":"z1","version":"1.0","max_concurrency":4,"state":"draining","cold_remaining_ms":0,"born":1000,)";
+    const std::string odd[] = { std::string(60'000, '['), sound + R"("sequence":1e400})", sound + R"("sequence":18446744073709551616,"address":")" + it.ip + R"(:8080"})", sound + R"("sequence":8,"address":")" + it.ip + R"(:99999"})",
+        sound + R"("sequence":8,"address":")" + it.ip + R"(:-1"})", "{}", "null", "\xff\xfe", "" };
+    for (const std::string& body : odd) {
+        INFO(body.substr(0, 200));
+        CHECK(it.statusOf(it.mesh.ask(it.toPort, "POST", "/-/Instances.Heartbeat/i-1", {}, body)) == 400);
+        CHECK(it.isReady());
+    }
+    CHECK(it.heartbeat("i-1", 1000, 8) == 200);
+    CHECK(it.isReady());
+}
