Platform: late heartbeats do not bring back what an earlier process acknowledged as leaving

Found by reading again, before it landed: a node restarts after it has acknowledged that its backend drains, two heartbeats from before arrive late, half a second apart, and the backend gets requests again.

Cause: whether a backend leaves was asked of its last announcement, which the node's next process does not have; what it knows of the leaving was not asked.

--- a/tests/foreign_heartbeat_test.cpp
+++ b/tests/foreign_heartbeat_test.cpp
@@ -67,6 +67,29 @@
     CHECK_FALSE(it.isReady());
 }
 
+TEST_CASE("a backend whose leaving an earlier process acknowledged is not brought back by two late heartbeats", "[platform][foreign-heartbeat][leaving]")
+{
+    // Guards against the same in the node's next process, where no announcement says that the backend drains.
+    PlatformNode it;
+    it.tell(inner::EndpointListRead {});
+    REQUIRE(it.heartbeat("i-1", 1000, 7) == 200);
+    const std::string call = GENERATE("Deregister", "Heartbeat");
+    it.post(call, "i-1", 1000, 9, "draining");
+    REQUIRE(it.mesh.run([&] { return !it.isReady(); }));
+    const config::Endpoint held = it.restart();
+    it.tell(inner::EndpointsChanged { { held } });
+    it.tell(inner::EndpointListRead {});
+    CHECK(it.heartbeat("i-0", 900, 3) == 200); // of one before it
+    it.mesh.runFor(base::Duration { 550 });
+    CHECK(it.heartbeat("i-0", 900, 4) == 200);
+    CHECK(it.heartbeat("i-1", 1000, 6) == 200);
+    it.mesh.runFor(base::Duration { 550 });
+    CHECK(it.heartbeat("i-1", 1000, 8) == 200);
+    CHECK_FALSE(it.isReady());
+    CHECK(it.heartbeat("i-2", 2000, 1) == 200);
+    CHECK(it.isReady());
+}
+
 TEST_CASE("heartbeats that cannot be read are refused, and the backend goes on", "[platform][foreign-heartbeat]")
 {
     // Guards against a node that ends, or stops to follow its backend, because of one odd message of another writer.
