--- a/tests/large_body_test.cpp
+++ b/tests/large_body_test.cpp
@@ -283,8 +283,9 @@
 
 // A caller's node with memory for `bytes` of bodies beside what this process uses.
 struct SmallMesh : UploadMesh {
-    explicit SmallMesh(uint64_t bytes)
+    explicit SmallMesh(uint64_t bytes, base::Duration receiveTimeout = http::ListenerLimits {}.receiveTimeout)
     {
+        mesh.limits.receiveTimeout = receiveTimeout;
         http::releaseFreeMemory(); // of earlier tests in this process; the node would do so later
         mesh.memoryBytes = (http::residentBytes() + bytes) / 3 * 4;
         b = &mesh.addNode("small", "z2");
@@ -356,6 +357,22 @@
     CHECK(it.upstream.runs == 0);
 }
 
+TEST_CASE("a large body that comes a byte at a time is refused at its time limit, and its memory is free again", "[node][large-body]")
+{
+    // Guards against a caller that holds the memory for large bodies for as long as it likes.
+    SmallMesh it(24 * megabyte, base::Duration { 400 });
+    const auto slow = it.mesh.askRaw(it.b->addresses.callers, declared(16 * megabyte));
+    REQUIRE(it.mesh.run([&] { return it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") > 0; }));
+    REQUIRE(it.mesh.run([&] {
+        it.mesh.sendMore("x");
+        return hasStatus(*slow, "408");
+    }));
+    CHECK(it.metric("appletally_caller_body_bytes{stage=\"reserved\"}") == 0);
+    CHECK(it.upstream.runs == 0);
+    const auto next = it.mesh.askRaw(it.b->addresses.callers, rawPost("Expect: 100-continue\r\nContent-Length: " + std::to_string(16 * megabyte)));
+    CHECK(it.mesh.run([&] { return hasStatus(*next, "100"); }));
+}
+
 TEST_CASE("a large body after a burst of small requests is taken", "[node][large-body]")
 {
     // Guards against refusing large bodies for good because of free memory that the allocator keeps after a burst.
