An answer that has no body ends with its head, whatever length it states

A read, a command or an upload answered with "304 Not Modified" and the Content-Length of the resource, as every server answers a conditional read, waited for its deadline and got 504; so did 204 with a length and an interim answer with one.

Cause: http-parser waits for a body wherever a length is stated, unless it is told that there is none; it was told so for HEAD alone. Behind it, the caller's node compared the length with the bytes received, and wrote the length of what it kept.

Change: the reader asks whether method and status allow a body (RFC 9112, section 6.3, point 1). A stated length is passed on as it is, from owner to caller, and not waited for, compared, paced or counted against the largest answer. A recorded 204 or 304 is replayed without a length. Looked at besides: links (the head carries the length; bytes of such an answer are an error there) and the caller's connection. Control's clients read no HTTP; the platform's ports only answer.

--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -113,18 +113,21 @@
     m_head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const HeaderField& it : headers)
         m_head += it.name + ": " + it.value + "\r\n";
-    m_chunked = length < 0 && !m_isHttp10;
-    m_endsWithConnection = length < 0 && m_isHttp10;
+    constexpr int noContent = 204;
+    const bool lengthUnknown = length < 0 && answerHasBody(m_request.method, status);
+    m_chunked = lengthUnknown && !m_isHttp10;
+    m_endsWithConnection = lengthUnknown && m_isHttp10;
     if (m_chunked)
         m_head += "Transfer-Encoding: chunked\r\n";
-    else if (length >= 0)
+    else if (length >= 0 && status != noContent)
         m_head += "Content-Length: " + std::to_string(length) + "\r\n";
 }
 
-void CallerExchange::reply(int status, const std::vector<HeaderField>& headers, const std::string& body)
+void CallerExchange::reply(int status, const std::vector<HeaderField>& headers, const std::string& body, int64_t statedLength)
 {
-    writeHead(status, headers, static_cast<int64_t>(body.size()));
-    if (m_request.method != "HEAD") {
+    const bool hasBody = answerHasBody(m_request.method, status);
+    writeHead(status, headers, hasBody || !body.empty() ? static_cast<int64_t>(body.size()) : statedLength);
+    if (hasBody) {
         evbuffer_add(m_heldOutput, body.data(), body.size());
         countHeld(body.size());
     }
--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -101,7 +101,8 @@
     // Call either reply() once, or startStream(), then streamBody() any number of times, then endStream() or abort().
     // The exchange must not be used after reply(), endStream() or abort(). After a successful takeBack() it is as if
     // startStream() had not been called.
-    void reply(int status, const std::vector<HeaderField>&, const std::string& body);
+    // An answer that has no body is passed to reply(), with the Content-Length that it states.
+    void reply(int status, const std::vector<HeaderField>&, const std::string& body, int64_t statedLength = -1);
     void startStream(int status, const std::vector<HeaderField>&, int64_t length); // -1: chunked
     void streamBody(evbuffer*); // drains the buffer
     void endStream();
--- a/src/appletally/http/header.cpp
+++ b/src/appletally/http/header.cpp
@@ -42,4 +42,12 @@
     return std::any_of(names.begin(), names.end(), [&](std::string_view it) { return sameName(it, name); });
 }
 
+bool statusAllowsBody(int status)
+{
+    constexpr int noContent = 204, notModified = 304;
+    return status >= 200 && status != noContent && status != notModified;
+}
+
+bool answerHasBody(std::string_view method, int status) { return method != "HEAD" && statusAllowsBody(status); }
+
 } // namespace appletally::http
--- a/src/appletally/http/message_reader.cpp
+++ b/src/appletally/http/message_reader.cpp
@@ -107,8 +107,11 @@
                 self(parser).head.target.append(at, n);
                 return 0;
             };
-            // 1: this message has no body, whatever its head says.
-            out.on_headers_complete = [](http_parser* parser) { return self(parser).bodyless ? 1 : 0; };
+            out.on_headers_complete = [](http_parser* parser) {
+                MessageReader& it = self(parser);
+                it.head.hasBody = it.kind == MessageKind::Request || (!it.answersHead && statusAllowsBody(static_cast<int>(parser->status_code)));
+                return it.head.hasBody ? 0 : 1; // 1: none follows
+            };
             out.on_body = [](http_parser* parser, const char* at, size_t n) {
                 MessageReader& it = self(parser);
                 it.bodyBytes += n;
@@ -141,8 +144,7 @@
     // A response without framing ends when the connection closes.
     bool needsClose(const MessageReader& it, bool chunked)
     {
-        const bool bodyAllowed = it.head.status >= 200 && it.head.status != 204 && it.head.status != 304 && !it.bodyless;
-        return it.kind == MessageKind::Response && bodyAllowed && !chunked && !findHeader(it.head.headers, "Content-Length");
+        return it.kind == MessageKind::Response && it.head.hasBody && !chunked && !findHeader(it.head.headers, "Content-Length");
     }
 
     ReadStep takeHead(MessageReader& it, const std::string& raw)
@@ -167,9 +169,8 @@
             return ReadStep::Malformed;
         const bool chunked = (it.parser.flags & F_CHUNKED) != 0;
         it.head.untilClose = needsClose(it, chunked);
-        it.head.length = chunked || it.head.untilClose ? -1 : 0;
-        const std::string* length = findHeader(it.head.headers, "Content-Length");
-        if (length && !it.messageEnded)
+        it.head.length = chunked || it.head.untilClose || !it.head.hasBody ? -1 : 0;
+        if (findHeader(it.head.headers, "Content-Length"))
             it.head.length = static_cast<int64_t>(it.parser.content_length);
         it.head.keepAlive = http_should_keep_alive(&it.parser) != 0;
         it.headComplete = true;
--- a/src/appletally/http/message_reader.h
+++ b/src/appletally/http/message_reader.h
@@ -24,7 +24,8 @@
     std::string target; // requests: path and query as sent
     int status = 0; // responses
     std::vector<HeaderField> headers;
-    int64_t length = -1; // of the body in bytes; -1: chunked, or until the connection closes
+    int64_t length = -1; // of the body in bytes; -1: chunked, until the connection closes, or not stated
+    bool hasBody = true; // false: a response that ends with its head; `length` is what the body to another request would have
     bool untilClose = false; // responses: the body ends when the connection closes
     bool keepAlive = true; // the sender keeps the connection open after this message
 };
@@ -41,7 +42,7 @@
 struct MessageReader {
     MessageKind kind = MessageKind::Request;
     size_t maxHeadBytes = 32 * 1024; // start line and header fields together
-    bool bodyless = false; // responses to HEAD: without a body, whatever the head says
+    bool answersHead = false; // responses: to HEAD
 
     MessageHead head; // of the current message
     std::string problem;
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -141,7 +141,7 @@
 {
     call = &it;
     it.m_connection = this;
-    reader.bodyless = it.m_request.method == "HEAD";
+    reader.answersHead = it.m_request.method == "HEAD";
     headDelivered = false;
     skipping = false;
     skippedMessages = 0;
@@ -267,7 +267,8 @@
 bool UpstreamConnection::checkLimits()
 {
     const ClientLimits& limits = client.m_limits;
-    const uint64_t bodyBytes = std::max(reader.bodyBytes, static_cast<uint64_t>(std::max<int64_t>(reader.head.length, 0)));
+    const int64_t stated = reader.head.hasBody ? reader.head.length : 0;
+    const uint64_t bodyBytes = std::max(reader.bodyBytes, static_cast<uint64_t>(std::max<int64_t>(stated, 0)));
     const bool skippedTooMuch = skippedBytes > limits.maxSkippedBytes || skippedMessages > limits.maxSkippedMessages;
     const bool tooLarge = !skipping && bodyBytes > limits.maxAnswerBytes;
     if (!skippedTooMuch && !tooLarge)
@@ -309,7 +310,6 @@
     const bool keepAlive = reader.head.keepAlive;
     if (skipping) {
         resetReader(reader);
-        reader.bodyless = call->m_request.method == "HEAD";
         if (!keepAlive)
             end(base::fail(Code::InvalidUpstreamAnswer, "the upstream closed the connection before it answered"));
         return;
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -45,7 +45,7 @@
 struct AnswerHead {
     int status = 0;
     std::vector<HeaderField> headers;
-    int64_t length = -1; // of the body in bytes; -1: not known before its end
+    int64_t length = -1; // Content-Length, also of an answer without a body; -1: not stated
 };
 
 struct AnswerEnd {
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -15,10 +15,10 @@
 using base::Duration;
 using policy::AnswerKind;
 
-void Ingress::onHead(ActiveRequest&, Attempt& attempt, const http::AnswerHead& head)
+void Ingress::onHead(ActiveRequest& it, Attempt& attempt, const http::AnswerHead& head)
 {
     attempt.head = head;
-    if (head.length > 0 && head.length <= maxBufferedAnswerBytes)
+    if (head.length > 0 && head.length <= maxBufferedAnswerBytes && http::answerHasBody(it.call.method, head.status))
         attempt.bufferedBody.reserve(static_cast<size_t>(head.length));
 }
 
@@ -179,7 +179,9 @@
         m_suspectRequests->onTold(*end.suspect);
     if (!error && !attempt.head)
         error = base::fail(Code::AnswerTruncated, "the answer ended without a head");
-    if (!error && attempt.head->length >= 0 && it.call.method != "HEAD" && attempt.bodyBytes != static_cast<uint64_t>(attempt.head->length))
+    if (!error && !http::answerHasBody(it.call.method, attempt.head->status) && attempt.bodyBytes > 0)
+        error = base::fail(Code::InvalidUpstreamAnswer, "a body in an answer that has none");
+    else if (!error && attempt.head->length >= 0 && http::answerHasBody(it.call.method, attempt.head->status) && attempt.bodyBytes != static_cast<uint64_t>(attempt.head->length))
         error = base::fail(Code::AnswerTruncated, "the length of the body differs from its Content-Length");
     const auto ending = detachAttempt(it, attempt);
     if (!error || !base::info(error->code).notRun)
@@ -241,7 +243,7 @@
 {
     it.exchange->onGone = nullptr;
     it.exchange->onDrained = nullptr;
-    it.exchange->reply(head.status, answerHeaders(head), body);
+    it.exchange->reply(head.status, answerHeaders(head), body, head.length);
     removeRequest(it);
 }
 
--- a/src/appletally/node/owner_links.cpp
+++ b/src/appletally/node/owner_links.cpp
@@ -164,14 +164,15 @@
             weak = link;
     }
     CallHandler handler;
-    handler.head = [this, weak, id](const http::AnswerHead& head) {
+    Call call = readCall(message, base::steadyNow());
+    handler.head = [this, weak, id, method = call.method](const http::AnswerHead& head) {
         auto accepted = weak.lock();
         if (!accepted)
             return;
         capnp::MallocMessageBuilder out;
         writeHead(out.initRoot<LinkMessage>().initAnswerHead(), id, head);
         accepted->link->send(out);
-        m_answers.begin({ accepted->number, id }, head.length);
+        m_answers.begin({ accepted->number, id }, http::answerHasBody(method, head.status) ? head.length : 0);
     };
     handler.body = [this, weak, id](evbuffer* buf) {
         if (auto accepted = weak.lock())
@@ -197,7 +198,7 @@
         accepted->link->send(out);
     };
     handler.isFull = [this] { return m_answers.isFull(); };
-    it.calls[id] = m_owner->start(readCall(message, base::steadyNow()), std::move(handler));
+    it.calls[id] = m_owner->start(std::move(call), std::move(handler));
 }
 
 void OwnerLinks::onCallBody(InboundLink& it, inner::wire::CallBody::Reader message)
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -155,7 +155,8 @@
     for (const auto& [name, value] : outcome.headers)
         head.headers.push_back({ name, value });
     head.headers.push_back({ "Appletally-Recorded", "1" });
-    head.length = static_cast<int64_t>(outcome.body.size());
+    if (http::answerHasBody(it.call.method, outcome.status))
+        head.length = static_cast<int64_t>(outcome.body.size());
     if (!it.detached) {
         it.handler.head(head);
         evbuffer* buf = evbuffer_new();
--- /dev/null
+++ b/tests/broken_answers_test.cpp
@@ -0,0 +1,112 @@
+// Unusual and broken answers of upstreams, through two nodes: what callers get, and what follows on their connections.
+#include "byte_upstream.h"
+#include "node_fixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace appletally;
+
+namespace {
+
+// Node "a" has an upstream of plug-control, node "b" none.
+struct AnswersMesh {
+    TestMesh mesh;
+    ByteUpstream upstream { mesh.loop() };
+    TestNode* a = nullptr;
+    TestNode* b = nullptr;
+
+    AnswersMesh()
+    {
+        mesh.announcementTimeout = { 60000 }; // it is announced once
+        a = &mesh.addNode("a", "z1");
+        b = &mesh.addNode("b", "z2");
+        mesh.edit = [](config::Snapshot& snapshot) {
+            for (auto& [name, it] : snapshot.routes)
+                it.maxRequestBody = { 1024 * 1024 };
+        };
+    }
+
+    void start()
+    {
+        mesh.announce(*a, upstream.address, "ready", 10, "1.0", "plug-control");
+        mesh.applyEverywhere("examples/berthgrid.json");
+    }
+
+    // Sends the request and another one on one connection; returns all that comes back until the node closes it.
+    std::string askTwice(const TestNode& node, const std::string& request)
+    {
+        const auto answer = mesh.askRaw(node.addresses.callers, request + "GET /plugs/next HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+        REQUIRE(mesh.run([&] { return answer->done; }));
+        return answer->body;
+    }
+};
+
+std::string request(const std::string& method, const std::string& target, size_t bodyBytes = 0)
+{
+    const std::string length = method == "POST" ? "Content-Length: " + std::to_string(bodyBytes) + "\r\n" : "";
+    return method + " " + target + " HTTP/1.1\r\nHost: test\r\nAppletally-Timeout-Ms: 1500\r\n" + length + "\r\n" + std::string(bodyBytes, 'x');
+}
+
+const std::vector<std::string> readCommandUpload { request("GET", "/plugs/first"), request("POST", "/plugs/connect/first"), request("POST", "/plugs/connect/first", 500'000) };
+
+bool isNext(const ByteUpstream::Request& it) { return it.head.find("/plugs/next") != std::string::npos; }
+
+const std::string nextAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext";
+
+} // namespace
+
+TEST_CASE("an answer that has no body ends with its head, whatever length it states", "[node][answers]")
+{
+    // Guards against waiting for a body that never comes, and against taking the next answer for it. Not Modified repeats the
+    // length of the whole resource.
+    struct Case {
+        const char* what;
+        const char* method; // empty: each kind of request
+        std::string answer;
+        std::string status;
+        std::string length; // that the caller gets; empty: none
+    };
+    const Case cases[] = {
+        { "304 with a length", "", "HTTP/1.1 304 Not Modified\r\nETag: \"7\"\r\nContent-Length: 1800\r\n\r\n", "304", "1800" },
+        { "304 with a length above what is kept whole", "", "HTTP/1.1 304 Not Modified\r\nContent-Length: 5000000\r\n\r\n", "304", "5000000" },
+        { "304 without a length", "", "HTTP/1.1 304 Not Modified\r\nETag: \"7\"\r\n\r\n", "304", "" },
+        { "304 in chunks", "", "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n", "304", "" },
+        { "204 with a length", "", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", "204", "" },
+        { "204 after an interim answer with a length", "", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "204", "" },
+        { "to HEAD with a length", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 1800\r\n\r\n", "200", "1800" },
+        { "to HEAD with a length above any allowed body", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5000000000\r\n\r\n", "200", "5000000000" },
+        { "to HEAD after an interim answer", "HEAD", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1800\r\n\r\n", "200", "1800" },
+        { "to HEAD in chunks", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "200", "" },
+        { "to HEAD without a length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", "200", "" },
+    };
+    AnswersMesh it;
+    it.mesh.edit = [edit = it.mesh.edit](config::Snapshot& snapshot) {
+        edit(snapshot);
+        config::Route head = snapshot.routes.at({ "plug-state" });
+        head.name = { "plug-head" };
+        head.method = "HEAD";
+        snapshot.routes[head.name] = head;
+    };
+    it.start();
+    for (const Case& each : cases) {
+        it.upstream.answer = [&](const ByteUpstream::Request& got) { return isNext(got) ? nextAnswer : each.answer; };
+        const std::vector<std::string> requests = *each.method ? std::vector { request(each.method, "/plugs/first") } : readCommandUpload;
+        for (const std::string& text : requests) {
+            for (const TestNode* node : { it.a, it.b }) {
+                INFO(each.what << ", at node " << node->host << ", " << text.substr(0, text.find("\r\n")) << ", " << text.size() << " bytes");
+                const std::string got = it.askTwice(*node, text);
+                INFO(got);
+                const size_t end = got.find("\r\n\r\n");
+                REQUIRE(end != std::string::npos);
+                const std::string head = got.substr(0, end + 2);
+                CHECK(head.starts_with("HTTP/1.1 " + each.status + " "));
+                CHECK(ByteUpstream::field(head, "Content-Length") == each.length);
+                CHECK(ByteUpstream::field(head, "Transfer-Encoding").empty());
+                CHECK(got.substr(end + 4).starts_with("HTTP/1.1 200 OK\r\n"));
+                CHECK(got.ends_with("\r\n\r\nnext"));
+            }
+        }
+    }
+}
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -153,7 +153,12 @@
 
 void TestMesh::announce(TestNode& node, const TestUpstream& upstream, const std::string& state, int slots, const std::string& version, const std::string& service)
 {
-    const base::Json body = { { "service", service }, { "version", version }, { "address", upstream.address.text() }, { "slots", slots }, { "state", state } };
+    announce(node, upstream.address, state, slots, version, service);
+}
+
+void TestMesh::announce(TestNode& node, const base::Address& upstream, const std::string& state, int slots, const std::string& version, const std::string& service)
+{
+    const base::Json body = { { "service", service }, { "version", version }, { "address", upstream.text() }, { "slots", slots }, { "state", state } };
     evhttp_connection* connection = evhttp_connection_base_new(m_loop, nullptr, "127.0.0.1", node.addresses.announce.port);
     m_connections.push_back(connection);
     auto done = std::make_shared<bool>(false);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -74,6 +74,7 @@
     TestNode& addNode(const std::string& host, const std::string& zone);
     void removeNode(const std::string& host); // as if the process were killed: its connections close
     void announce(TestNode&, const TestUpstream&, const std::string& state, int slots = 10, const std::string& version = "1.0", const std::string& service = "berth-data");
+    void announce(TestNode&, const appletally::base::Address& upstream, const std::string& state, int slots, const std::string& version, const std::string& service);
     std::shared_ptr<appletally::config::Snapshot> snapshotFor(const std::string& answersFile); // with the next version
     void applyEverywhere(const std::string& answersFile); // the generated snapshot, and every endpoint known so far
     void shareEndpoints();
