A start line of another protocol or version than HTTP/1 is refused

Callers got "HTTP/9.9 200 OK" and "HTTX/1.1 200 OK" as answers with status 200.

Cause: http-parser as Debian builds it checks neither the letters of the protocol's name nor the version.

Change: the reader checks the start line where it checks the names of fields: HTTP/1.x, one blank between its parts, a status of three digits, no control byte, in a target no blank. An answer that fails costs its connection and counts as "upstream-broke"; a request gets 400, or 505 with the new result 422 where only the major version differs. A status without a reason, and HTTP/1.0, are still taken. 101 is refused as well, since no upgrade is ever passed on: it was skipped like an interim answer.

It refuses control bytes in values, lengths that are no plain number, bare line feeds between chunks, and fields of trailers with an invalid name.

The platform's node had the fault too and has the same reader. Its two ports, and the upstream's announcements, are read by evhttp and kj-http; their start lines were not tried.

--- a/src/appletally/base/result.cpp
+++ b/src/appletally/base/result.cpp
@@ -53,6 +53,7 @@
     { Code::ZoneEvacuated, "zone-evacuated", 421, true, "the upstream's availability zone is evacuated; another zone serves the request" },
     { Code::RequestBlocked, "request-blocked", 503, true, "upstreams ended while they ran this request, and it is not sent to another; Retry-After says when one run is tried" },
     { Code::NoBodyMemory, "no-body-memory", 503, true, "this node has no memory for the request's body now; Retry-After says when to retry" },
+    { Code::HttpVersionUnsupported, "http-version-unsupported", 505, true, "the request is of another major version of HTTP than 1" },
     { Code::OutcomeUnknown, "outcome-unknown", 502, false, "it may have run; resend with the same key to get the outcome" },
     { Code::AnswerTruncated, "answer-cut", 502, false, "the answer is truncated" },
     { Code::DeadlinePassed, "deadline-passed", 504, false, "no answer before the request's deadline; it may have run" },
--- a/src/appletally/base/result.h
+++ b/src/appletally/base/result.h
@@ -71,6 +71,7 @@
     ZoneEvacuated = 419,
     RequestBlocked = 420,
     NoBodyMemory = 421,
+    HttpVersionUnsupported = 422,
 
     // 5xx: a request whose outcome is unknown, or that ran and failed
     OutcomeUnknown = 501,
--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -289,7 +289,7 @@
         startQueued();
         return true;
     case ReadStep::Malformed:
-        reject(Code::RequestMalformed, reader.problem);
+        reject(reader.otherVersion ? Code::HttpVersionUnsupported : Code::RequestMalformed, reader.problem);
         return false;
     case ReadStep::HeadTooLarge:
         reject(Code::HeadersTooLarge, "headers larger than " + std::to_string(reader.maxHeadBytes) + " bytes");
@@ -337,8 +337,9 @@
 {
     if (closing != Closing::No)
         return;
+    const bool malformed = code == Code::RequestMalformed || code == Code::HttpVersionUnsupported;
     if (code != Code::NoBodyMemory)
-        ++(code == Code::RequestMalformed ? listener.m_counts.malformed : (code == Code::CallerTooSlow ? listener.m_counts.tooSlow : listener.m_counts.tooLarge));
+        ++(malformed ? listener.m_counts.malformed : (code == Code::CallerTooSlow ? listener.m_counts.tooSlow : listener.m_counts.tooLarge));
     if (!incoming) {
         incoming.reset(new CallerExchange);
         incoming->m_connection = this;
--- a/src/appletally/http/message_reader.cpp
+++ b/src/appletally/http/message_reader.cpp
@@ -39,6 +39,53 @@
         return std::string_view::npos;
     }
 
+    // --- The start line ---
+
+    bool isDigit(char it) { return it >= '0' && it <= '9'; }
+    bool isControl(char it) { return static_cast<unsigned char>(it) < ' ' || it == '\x7f'; }
+
+    bool checkVersion(MessageReader& it, std::string_view version)
+    {
+        constexpr std::string_view shape = "HTTP/d.d";
+        const bool valid = version.size() == shape.size() && version.starts_with("HTTP/") && isDigit(version[5]) && version[6] == '.' && isDigit(version[7]);
+        if (!valid)
+            it.problem = "start line without a version of HTTP";
+        else if (version[5] != '1')
+            it.problem = "another version of HTTP than 1";
+        it.otherVersion = valid && version[5] != '1';
+        return it.problem.empty();
+    }
+
+    bool checkRequestLine(MessageReader& it, std::string_view line)
+    {
+        const size_t methodEnd = line.find(' ');
+        const size_t targetEnd = line.rfind(' ');
+        if (methodEnd == std::string_view::npos || methodEnd == targetEnd) {
+            it.problem = "request line without method, target and version";
+            return false;
+        }
+        const std::string_view target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
+        if (target.empty() || std::any_of(target.begin(), target.end(), [](char c) { return c == ' ' || isControl(c); }))
+            it.problem = "request target with a blank or a control byte";
+        return it.problem.empty() && checkVersion(it, line.substr(targetEnd + 1));
+    }
+
+    // The reason may be missing together with the blank before it, as some servers send it.
+    bool checkStatusLine(MessageReader& it, std::string_view line)
+    {
+        constexpr size_t statusAt = std::string_view("HTTP/d.d ").size(), statusEnd = statusAt + 3;
+        if (!checkVersion(it, line.substr(0, statusAt - 1)))
+            return false;
+        const bool hasStatus = line.size() >= statusEnd && line[statusAt - 1] == ' ' && std::all_of(line.begin() + statusAt, line.begin() + statusEnd, isDigit);
+        if (!hasStatus || (line.size() > statusEnd && line[statusEnd] != ' '))
+            it.problem = "status line without a status of three digits";
+        else if (std::any_of(line.begin() + statusEnd, line.end(), [](char c) { return c != '\t' && isControl(c); }))
+            it.problem = "control byte in the status line";
+        return it.problem.empty();
+    }
+
+    // --- Fields ---
+
     // `line`: one header line without its line ending.
     bool addField(MessageReader& it, std::string_view line)
     {
@@ -79,9 +126,12 @@
             it.problem = "expected exactly one Host header";
     }
 
-    bool readFields(MessageReader& it, std::string_view raw)
+    bool checkHead(MessageReader& it, std::string_view raw)
     {
-        size_t begin = raw.find("\r\n") + 2;
+        const std::string_view start = raw.substr(0, raw.find("\r\n"));
+        if (!(it.kind == MessageKind::Request ? checkRequestLine(it, start) : checkStatusLine(it, start)))
+            return false;
+        size_t begin = start.size() + 2;
         while (begin + 2 < raw.size()) {
             const size_t end = raw.find("\r\n", begin);
             if (end == begin)
@@ -149,7 +199,7 @@
 
     ReadStep takeHead(MessageReader& it, const std::string& raw)
     {
-        if (!readFields(it, raw))
+        if (!checkHead(it, raw))
             return ReadStep::Malformed;
         size_t n = raw.size();
         if (!feed(it, raw.data(), n))
@@ -162,8 +212,11 @@
                 it.problem = "request target is not a path";
         } else {
             it.head.status = static_cast<int>(it.parser.status_code);
+            constexpr int switchingProtocols = 101;
             if (it.head.status < 100 || it.head.status > 599)
                 it.problem = "impossible status";
+            else if (it.head.status == switchingProtocols)
+                it.problem = "a protocol upgrade that was not requested";
         }
         if (!it.problem.empty())
             return ReadStep::Malformed;
@@ -218,6 +271,7 @@
     http_parser_init(&it.parser, it.kind == MessageKind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     it.head = {};
     it.problem.clear();
+    it.otherVersion = false;
     it.inMessage = false;
     it.headComplete = false;
     it.bodyBytes = 0;
--- a/src/appletally/http/message_reader.h
+++ b/src/appletally/http/message_reader.h
@@ -3,7 +3,8 @@
 // Guards against request smuggling: if two programs disagree on where a message ends (two lengths, a length together with
 // chunked encoding, a bare line feed), a second request can hide inside the first. It would run without admission, and its
 // answer would go to the next caller on the connection. http-parser accepts some of these messages, so the raw bytes of
-// the head are checked first, and every ambiguous message is rejected.
+// the head are checked first, and every ambiguous message is rejected. http-parser also takes any four letters for "HTTP",
+// and any version; the start line is therefore checked too (RFC 9112, sections 2.3, 3 and 4).
 #pragma once
 
 #include "appletally/http/header.h"
@@ -46,6 +47,7 @@
 
     MessageHead head; // of the current message
     std::string problem;
+    bool otherVersion = false; // with `problem`: a message of another major version of HTTP
     bool inMessage = false; // at least one byte of the current message was received
     bool headComplete = false;
     uint64_t bodyBytes = 0;
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -110,3 +110,27 @@
         }
     }
 }
+
+TEST_CASE("a start line that is not HTTP/1 begins no answer", "[node][answers]")
+{
+    // Guards against passing on the answer of another protocol, of which only the rest looks like HTTP.
+    const std::string rest = "\r\nContent-Length: 2\r\n\r\nok";
+    const char* const lines[] = { "HTTP/9.9 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTX/1.1 200 OK", "http/1.1 200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 0200 OK",
+        "HTTP/1.1 20 OK", "HTTP/1.1 200OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x" };
+    AnswersMesh it;
+    it.start();
+    for (const std::string line : lines) {
+        it.upstream.answer = [&](const ByteUpstream::Request& got) { return isNext(got) ? nextAnswer : line + rest; };
+        for (const std::string& text : readCommandUpload) {
+            for (const TestNode* node : { it.a, it.b }) {
+                INFO(line << ", at node " << node->host << ", " << text.substr(0, text.find("\r\n")) << ", " << text.size() << " bytes");
+                const std::string got = it.askTwice(*node, text);
+                INFO(got);
+                CHECK(got.starts_with("HTTP/1.1 502 "));
+                CHECK(got.ends_with("\r\n\r\nnext"));
+            }
+        }
+    }
+    it.upstream.answer = [&](const ByteUpstream::Request&) { return "HTTP/1.0 200\r\nConnection: keep-alive" + rest; };
+    CHECK(it.askTwice(*it.b, readCommandUpload[0]).starts_with("HTTP/1.1 200 ")); // an older version, and no reason
+}
