A chunk whose line endings are other bytes ends its message

An answer in chunks of which one is two bytes longer than it says reached its caller as a whole body of the stated size; a request of the same kind ran.

Cause: as Debian builds it, http-parser takes any two bytes for the line ending behind a chunk's data and any byte for a line feed.

Change: the reader passes a chunked body to the parser in parts, chunk data or up to the end of a line, and checks each line ending itself. The bytes of a chunk are still passed on in one piece. Callers' requests and upstreams' answers share the reader, the platform's node included.

--- a/src/appletally/http/message_reader.cpp
+++ b/src/appletally/http/message_reader.cpp
@@ -167,6 +167,10 @@
                 it.bodyBytes += n;
                 return evbuffer_add(it.bodyOut, at, n);
             };
+            out.on_chunk_header = [](http_parser* parser) {
+                self(parser).chunkBytesLeft = parser->content_length;
+                return 0;
+            };
             out.on_message_complete = [](http_parser* parser) {
                 self(parser).messageEnded = true;
                 http_parser_pause(parser, 1);
@@ -247,6 +251,27 @@
         return takeHead(it, raw);
     }
 
+    // Returns how many bytes of a chunked body come before the next change between lines and data; checks line endings.
+    size_t chunkedPart(MessageReader& it, std::string_view bytes)
+    {
+        if (it.chunkBytesLeft > 0) {
+            const size_t n = static_cast<size_t>(std::min<uint64_t>(it.chunkBytesLeft, bytes.size()));
+            it.chunkBytesLeft -= n;
+            it.chunkEnds = it.chunkBytesLeft == 0;
+            return n;
+        }
+        for (size_t n = 0; n < bytes.size(); ++n) {
+            const char c = bytes[n];
+            if (it.carriageReturn != (c == '\n') || (it.chunkEnds && c != '\r'))
+                it.problem = "chunk without a valid line ending";
+            it.carriageReturn = c == '\r';
+            it.chunkEnds = false;
+            if (c == '\n' || !it.problem.empty())
+                return n + 1;
+        }
+        return bytes.size();
+    }
+
     ReadStep readBody(MessageReader& it, evbuffer* in, evbuffer* body)
     {
         const uint64_t before = it.bodyBytes;
@@ -255,7 +280,9 @@
             evbuffer_iovec part;
             evbuffer_peek(in, -1, nullptr, &part, 1);
             size_t n = part.iov_len;
-            if (!feed(it, static_cast<const char*>(part.iov_base), n))
+            if (it.parser.flags & F_CHUNKED)
+                n = chunkedPart(it, { static_cast<const char*>(part.iov_base), n });
+            if (!it.problem.empty() || !feed(it, static_cast<const char*>(part.iov_base), n))
                 return ReadStep::Malformed;
             evbuffer_drain(in, n);
         }
@@ -277,6 +304,9 @@
     it.bodyBytes = 0;
     it.scannedBytes = 0;
     it.messageEnded = false;
+    it.chunkBytesLeft = 0;
+    it.chunkEnds = false;
+    it.carriageReturn = false;
 }
 
 ReadStep readNext(MessageReader& it, evbuffer* in, evbuffer* body)
--- a/src/appletally/http/message_reader.h
+++ b/src/appletally/http/message_reader.h
@@ -4,7 +4,8 @@
 // chunked encoding, a bare line feed), a second request can hide inside the first. It would run without admission, and its
 // answer would go to the next caller on the connection. http-parser accepts some of these messages, so the raw bytes of
 // the head are checked first, and every ambiguous message is rejected. http-parser also takes any four letters for "HTTP",
-// and any version; the start line is therefore checked too (RFC 9112, sections 2.3, 3 and 4).
+// and any version; the start line is therefore checked too (RFC 9112, sections 2.3, 3 and 4). In a chunked body it takes other
+// bytes for line endings, so these are checked as well.
 #pragma once
 
 #include "appletally/http/header.h"
@@ -57,6 +58,9 @@
     size_t scannedBytes = 0; // bytes of the head that are already checked
     evbuffer* bodyOut = nullptr; // only during a step
     bool messageEnded = false;
+    uint64_t chunkBytesLeft = 0; // of the current chunk's data
+    bool chunkEnds = false; // the line ending behind a chunk's data comes next
+    bool carriageReturn = false; // the last byte outside a chunk's data was one
 };
 
 void resetReader(MessageReader&); // call before the first message and after each End
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -134,3 +134,32 @@
     it.upstream.answer = [&](const ByteUpstream::Request&) { return "HTTP/1.0 200\r\nConnection: keep-alive" + rest; };
     CHECK(it.askTwice(*it.b, readCommandUpload[0]).starts_with("HTTP/1.1 200 ")); // an older version, and no reason
 }
+
+TEST_CASE("chunks whose line endings are other bytes are no body", "[node][answers]")
+{
+    // Guards against passing on a body that is longer than its chunks say, or another message behind it.
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const char* const bodies[] = { "2\r\nokXX0\r\n\r\n", "2\r\nok!\n0\r\n\r\n", "2\r\nok\r!0\r\n\r\n", "2\rXok\r\n0\r\n\r\n", "2\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\r\n\rX", "2\r\nok\r\n0\r\n\n",
+        "2\r\nok\r\n0\r\nX-More: 1\n\r\n", "2;a\rb\r\nok\r\n0\r\n\r\n" };
+    AnswersMesh it;
+    it.start();
+    for (const std::string body : bodies) {
+        for (const bool inPieces : { false, true }) {
+            const size_t first = inPieces ? 7 : body.size(); // inside a line ending
+            it.upstream.answer = [&](const ByteUpstream::Request& got) { return isNext(got) ? nextAnswer : head + body.substr(0, first); };
+            it.upstream.later = [&](const ByteUpstream::Request& got) { return isNext(got) || first >= body.size() ? "" : body.substr(first); };
+            for (const std::string& text : readCommandUpload) {
+                INFO(body << ", " << text.substr(0, text.find("\r\n")) << ", " << text.size() << " bytes");
+                const std::string got = it.askTwice(*it.b, text);
+                INFO(got);
+                CHECK(got.starts_with("HTTP/1.1 502 "));
+                CHECK(got.ends_with("\r\n\r\nnext"));
+            }
+        }
+    }
+    it.upstream.later = nullptr;
+    it.upstream.answer = [&](const ByteUpstream::Request&) { return head + "2;name=\"value\"\r\n\r\n\r\n1\r\nx\r\n0\r\nX-More: 1\r\n\r\n"; };
+    const std::string sound = it.askTwice(*it.a, readCommandUpload[0]);
+    INFO(sound);
+    CHECK(sound.find("\r\n\r\n\r\nxHTTP/1.1 200 ") != std::string::npos); // a chunk may hold a line ending
+}
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -74,6 +74,7 @@
         { "HTTP/3", "GET /berths/7 HTTP/3.1\r\nHost: a\r\n\r\n", "422" },
         { "the preface of HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "422" },
         { "HTTP/0.9", "GET /berths/7 HTTP/0.9\r\nHost: a\r\n\r\n", "422" },
+        { "a chunk without its line ending", "POST /plugs/connect HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokXX0\r\n\r\n", "402" },
         { "headers over the limit", "GET /berths/7 HTTP/1.1\r\nHost: a\r\nCookie: " + big.substr(0, 7000) + "\r\nA: " + big.substr(0, 7000) + "\r\nB: " + big.substr(0, 7000) + "\r\nC: " + big.substr(0, 7000) + "\r\nD: " + big.substr(0, 7000) + "\r\n\r\n", "403" },
         { "a Content-Length over the route's limit", "POST /plugs/connect HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\n", "404" },
         { "a chunked body over the route's limit", "POST /plugs/connect HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\na000\r\n" + big + "\r\n0\r\n\r\n", "404" },
