A route's limit of a request body above 1 MiB is kept

Cause: the listener had a limit of its own for all routes, 1 MiB, which no setting of a node raises; only the platform's configuration replaced it.

Change: the limit is the largest that a questionnaire allows, so the route's limit holds. What bounds a node is "memory_mb", as docs/design/large-bodies.md says. No setting for a lower bound is kept. Requests without a route are still read up to 1 MiB, to answer 404.

Found beside it: a request that arrived before the configuration was held to the listener's limit alone, never to its route's. It is checked when it is served now; 20 KB passed a limit of 16 KB before.

--- a/src/appletally/http/caller_listener.h
+++ b/src/appletally/http/caller_listener.h
@@ -49,7 +49,7 @@
 
 struct ListenerLimits {
     size_t maxHeaderBytes = 32 * 1024; // start line and all header fields; cookies rarely exceed 8 KB
-    size_t maxBodyBytes = 1024 * 1024; // upper limit for all routes; a route's own limit is lower
+    size_t maxBodyBytes = 1024 * 1024 * 1024; // upper limit for all routes: the largest that a questionnaire allows; a route's own limit is lower
     size_t maxSmallBodyBytes = 32 * 1024; // a larger body is kept once, and passed on in parts
     uint64_t memoryBytes = 0; // that the process may use; bounds large bodies and held answers. 0: not bounded
     base::Duration bodyWaitTimeout { 500 }; // for memory; then the request is refused
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -34,10 +34,12 @@
     return m_snapshot ? config::match(m_index, host ? *host : none, request.method, request.path) : nullptr;
 }
 
+// Before the configuration no route is known; the limit is checked again when the request is served.
 size_t Ingress::bodyLimit(const http::CallerRequest& request) const
 {
+    constexpr size_t unroutedBodyBytes = 1024 * 1024; // it is read so that the caller gets to know that there is no route
     const config::Route* route = routeOf(request);
-    return route ? route->maxRequestBody.count : SIZE_MAX; // without a route, the listener's limit applies
+    return route ? route->maxRequestBody.count : (m_snapshot ? unroutedBodyBytes : SIZE_MAX);
 }
 
 void Ingress::refuse(http::CallerExchange& exchange, Code code, const std::string& why, Duration retryAfter)
@@ -76,6 +78,9 @@
     const config::Route* route = routeOf(request);
     if (!route)
         return refuse(exchange, Code::NoRoute, "no route for " + request.method + " " + request.path);
+    const uint64_t bodyBytes = request.largeBody ? request.largeBody->size() : request.body.size();
+    if (bodyBytes > route->maxRequestBody.count)
+        return refuse(exchange, Code::BodyTooLarge, "body larger than " + std::to_string(route->maxRequestBody.count) + " bytes");
     const std::string* key = http::findHeader(request.headers, "Idempotency-Key");
     if (key && (key->empty() || key->size() > maxKeyBytes))
         return refuse(exchange, Code::KeySizeInvalid, "Idempotency-Key must have 1 to 256 bytes");
--- a/tests/byte_upstream.h
+++ b/tests/byte_upstream.h
@@ -36,6 +36,7 @@
     std::function<std::string(const Request&)> answer; // empty: "200 OK" with the body "ok"
     std::function<std::string(const Request&)> later; // further bytes, sent after `delay`; empty: none
     std::string greeting; // sent on each new connection
+    std::string early; // not empty: sent once a request's head and the first bytes of its body are there; then a reset
     appletally::base::Duration delay { 20 };
     size_t requests = 0;
 
@@ -90,6 +91,16 @@
         send(it, greeting);
     }
 
+    // Sends the bytes, and ends the connection with a reset while the request is still being written.
+    static void answerEarly(Connection& it, const std::string& bytes)
+    {
+        const evutil_socket_t fd = bufferevent_getfd(it.buffers);
+        (void)!::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        const linger reset { 1, 0 };
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+        close(it);
+    }
+
     static void send(Connection& it, const std::string& bytes)
     {
         if (it.buffers)
@@ -105,6 +116,8 @@
                 return;
             std::string head(static_cast<size_t>(end.pos), '\0');
             evbuffer_copyout(in, head.data(), head.size());
+            if (!early.empty() && evbuffer_get_length(in) > head.size() + 4)
+                return answerEarly(it, early);
             const size_t body = static_cast<size_t>(std::atoll(field(head, "Content-Length").c_str()));
             if (evbuffer_get_length(in) < head.size() + 4 + body)
                 return;
