A stray answer is not taken for the answer to the next request, as far as HTTP/1.1 can tell

An upstream sends its whole answer, and 20 ms later a second one that nobody asked for. On the platform each answer repeats the request's id, so that this mixes nothing there; the product's own dialect had no id.

Cause: a connection was used again without a look at its socket, also one that had already ended; a request was left to the event loop to write, so that bytes could come before it and still count as its answer; and an upstream that had sent stray bytes once was trusted again on the next connection.

Change: - The socket is looked at before each use, and the request is written at once. What is there before a new connection's first request is no answer either; that request goes to one other connection, then it is refused as not run. - After stray bytes no connection carries a second request until none have come for a minute. Connections stay open after their one request for as long as idle ones do, to see whether more come. Event 417 and a metric tell of it. - Without ids a connection rests as long as its longest request took. The idle limit is 64 for that, 32 before.

The look costs a syscall; writing at once saves a turn of the event loop.

--- a/src/appletally/base/events.cpp
+++ b/src/appletally/base/events.cpp
@@ -48,6 +48,7 @@
     { Event::MessageNotSent, "message-not-sent", "a message to another node was above the size limit of links and was not sent; the text names the node and the size", "lower the limit of request headers", 1 },
     { Event::LeavingNotHeld, "leaving-not-held", "no control process has confirmed in time that an upstream leaves; it gets no new requests, but was not told so", "see control-lost", 1 },
     { Event::HeartbeatDelayed, "heartbeat-delayed", "the first heartbeat after this node's start waits until control has said which upstreams have left, or until a second one", "none", 0 },
+    { Event::StrayBytes, "stray-bytes", "an upstream sent bytes that answer no request; its connections carry one request each until none have come for a minute", "notify the upstream's team", 1 },
     { Event::BadRequest, "bad-request", "a request was malformed, too large or too slow", "none unless many", 0 },
     { Event::OutcomeLost, "outcome-lost", "a request ended with its outcome unknown", "find the failure on its path", 1 },
     { Event::OverloadBegan, "overload-began", "requests are rejected for lack of capacity", "add upstreams or find the caller that sends the load", 1 },
--- a/src/appletally/base/events.h
+++ b/src/appletally/base/events.h
@@ -56,6 +56,7 @@
     MessageNotSent = 414,
     LeavingNotHeld = 415,
     HeartbeatDelayed = 416,
+    StrayBytes = 417,
 
     // 5xx: requests
     BadRequest = 501,
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -29,6 +29,8 @@
 
     constexpr int64_t secondsUnknown = -1;
 
+    constexpr Duration clockStep { 1 };
+
     // Parses values such as "timeout=5, max=100".
     int64_t keepAliveSeconds(const std::vector<HeaderField>& headers)
     {
@@ -41,11 +43,17 @@
         return out;
     }
 
-    bool hasEnded(evutil_socket_t fd)
+    enum class SocketState : uint8_t { Quiet,
+        HasBytes,
+        Ended };
+
+    SocketState stateOf(evutil_socket_t fd)
     {
         char next = 0;
         const ssize_t n = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+        if (n > 0)
+            return SocketState::HasBytes;
+        return n < 0 && (errno == EAGAIN || errno == EINTR) ? SocketState::Quiet : SocketState::Ended;
     }
 
     std::string headOf(const UpstreamRequest& request)
@@ -148,12 +156,31 @@
     skippedBytes = 0;
     if (!connected)
         return; // onEvent() sends it
-    it.m_sent = true;
+    it.m_sent = used = true;
+    sentAt = base::steadyNow();
     bufferevent_setwatermark(buffers, EV_WRITE, it.m_request.bodyLength > 0 ? it.m_request.bodyWindow / 2 : 0, 0);
     const std::string head = headOf(it.m_request);
-    evbuffer* out = bufferevent_get_output(buffers);
+    evbuffer* out = evbuffer_new();
     evbuffer_add(out, head.data(), head.size());
     evbuffer_add(out, it.m_request.body.data(), it.m_request.body.size());
+    write(out);
+    evbuffer_free(out);
+    if (it.m_request.bodyLength > 0)
+        bufferevent_trigger(buffers, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS); // asks for the body
+}
+
+// Left to the event loop, the write would come after bytes that arrive in between. A failure shows when the rest is written.
+void UpstreamConnection::write(evbuffer* request)
+{
+    evbuffer* waiting = bufferevent_get_output(buffers);
+    if (evbuffer_get_length(waiting) == 0)
+        evbuffer_write(request, bufferevent_getfd(buffers));
+    evbuffer_add_buffer(waiting, request);
+}
+
+bool UpstreamConnection::headWaits() const
+{
+    return call && call->m_sent && evbuffer_get_length(bufferevent_get_output(buffers)) > call->m_request.body.size() + call->m_bodyAppended;
 }
 
 // Called when the output is at most half a window.
@@ -179,9 +206,9 @@
         bufferevent_set_timeouts(buffers, nullptr, nullptr);
         const int one = 1;
         setsockopt(bufferevent_getfd(buffers), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-        if (call)
+        if (call && client.mayUse(*this))
             send(*call);
-        else
+        else if (!dropped)
             onDialedIdle();
         return;
     }
@@ -201,7 +228,7 @@
     settleTimer = event_new(
         client.m_loop, -1, 0, [](evutil_socket_t, short, void* arg) {
             auto* self = static_cast<UpstreamConnection*>(arg);
-            if (hasEnded(bufferevent_getfd(self->buffers)))
+            if (stateOf(bufferevent_getfd(self->buffers)) == SocketState::Ended)
                 return; // the callback that tells of it is deferred, and comes after this timer where the loop is late
             const auto done = std::exchange(self->onDialed, {});
             if (done)
@@ -226,9 +253,13 @@
 void UpstreamConnection::onReadable()
 {
     if (!call) {
-        ++client.m_counts.unsolicitedBytes;
+        client.onStrayBytes();
         return client.drop(*this);
     }
+    if (headWaits()) {
+        client.onStrayBytes();
+        return client.sendElsewhere(*call);
+    }
     while (!dropped && call && step()) { }
 }
 
@@ -293,6 +324,7 @@
             return end(base::fail(Code::InvalidUpstreamAnswer, "the upstream's answer does not repeat the request id"));
         if (*id != request.id) {
             ++client.m_counts.unsolicitedAnswers;
+            client.m_strayBytesAt = base::steadyNow();
             ++skippedMessages;
             skipping = sawUnsolicited = true;
             return;
@@ -337,7 +369,8 @@
     UpstreamCall& ended = *call;
     const bool unsent = bodyIncomplete() || evbuffer_get_length(bufferevent_get_output(buffers)) > 0; // it answered before it had received the whole body
     const bool unread = evbuffer_get_length(bufferevent_get_input(buffers)) > 0; // bytes after the answer
-    client.m_counts.unsolicitedBytes += unread ? 1 : 0;
+    if (unread && !error)
+        client.onStrayBytes();
     call = nullptr;
     const uint64_t bytes = reader.bodyBytes;
     const bool keeps = !error && !unsent && !unread && !sawUnsolicited && idleTimeout > Duration {};
@@ -378,7 +411,7 @@
     it->m_client = this;
     it->m_request = std::move(request);
     it->m_handler = std::move(handler);
-    UpstreamConnection* connection = takeIdle(it->m_request.idempotent);
+    UpstreamConnection* connection = takeIdle(it->m_request);
     ++(connection ? m_counts.reused : m_counts.dialed);
     if (!connection)
         connection = dial();
@@ -397,22 +430,66 @@
 }
 
 // Takes the most recently used connection, since it is the least likely to be closed by the upstream.
-UpstreamConnection* UpstreamClient::takeIdle(bool idempotent)
+UpstreamConnection* UpstreamClient::takeIdle(const UpstreamRequest& request)
 {
     const base::Time now = base::steadyNow();
-    while (!m_idle.empty()) {
-        UpstreamConnection* it = m_idle.back();
+    const bool onlyUnused = usesConnectionsOnce();
+    const bool mustRest = request.id.empty();
+    for (size_t n = m_idle.size(); n-- > 0;) {
+        UpstreamConnection* it = m_idle[n];
         const Duration idle = now - it->idleSince;
-        if (!idempotent && idle > m_limits.maxIdleTimeNotIdempotent)
+        if (!request.idempotent && idle > m_limits.maxIdleTimeNotIdempotent)
             return nullptr; // those before it have been idle for longer
-        m_idle.pop_back();
-        if (idle <= it->idleTimeout)
-            return it;
-        drop(*it);
+        if (idle > it->idleTimeout) {
+            drop(*it);
+            continue;
+        }
+        if (it->used && (onlyUnused || (mustRest && idle < it->restTime)))
+            continue;
+        if (!mayUse(*it)) // may have shown stray bytes
+            return takeIdle(request);
+        std::erase(m_idle, it);
+        return it;
     }
     return nullptr;
 }
 
+bool UpstreamClient::mayUse(UpstreamConnection& it)
+{
+    const bool hasRead = evbuffer_get_length(bufferevent_get_input(it.buffers)) > 0; // the callback that tells of it is deferred
+    const SocketState state = hasRead ? SocketState::HasBytes : stateOf(bufferevent_getfd(it.buffers));
+    if (state == SocketState::Quiet)
+        return true;
+    if (state == SocketState::HasBytes)
+        onStrayBytes();
+    else
+        ++m_counts.endedIdle;
+    if (it.call)
+        sendElsewhere(*it.call);
+    else
+        drop(it);
+    return false;
+}
+
+bool UpstreamClient::usesConnectionsOnce() const { return m_strayBytesAt && base::steadyNow() - *m_strayBytesAt < m_limits.singleUseTime; }
+
+void UpstreamClient::onStrayBytes()
+{
+    ++m_counts.unsolicitedBytes;
+    m_strayBytesAt = base::steadyNow();
+}
+
+// Once: an upstream that sends first on each connection is no HTTP server.
+void UpstreamClient::sendElsewhere(UpstreamCall& call)
+{
+    drop(*call.m_connection);
+    if (call.m_sentElsewhere)
+        return finish(call, base::fail(Code::NoUpstream, "what listens at " + m_address.text() + " closes connections or sends before it gets a request"), 0);
+    call.m_sentElsewhere = true;
+    ++m_counts.dialed;
+    dial()->send(call);
+}
+
 UpstreamConnection* UpstreamClient::dial()
 {
     m_connections.push_back(std::make_unique<UpstreamConnection>(*this));
@@ -436,11 +513,15 @@
 
 void UpstreamClient::keepIdle(UpstreamConnection& it)
 {
-    if (m_idle.size() >= m_limits.maxIdleConnections)
+    if (m_idle.size() >= m_limits.maxIdleConnections && !usesConnectionsOnce())
         return drop(it);
+    if (m_idle.size() >= m_limits.maxIdleConnections)
+        drop(*m_idle.front());
     resetReader(it.reader);
     bufferevent_enable(it.buffers, EV_READ);
     it.idleSince = base::steadyNow();
+    if (it.used)
+        it.restTime = std::max(it.restTime, it.idleSince - it.sentAt + clockStep);
     m_idle.push_back(&it);
 }
 
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -5,7 +5,14 @@
 //
 // Faulty upstreams can send one caller's answer to another: an answer that arrives after its request was cancelled, a
 // second answer after the first, unsolicited bytes on an idle connection. So each answer must repeat the request's id if
-// the request has one, and a connection that received anything unexpected is not reused.
+// the request has one, and a connection that received anything unexpected is not reused. Without ids HTTP/1.1 cannot tell
+// a stray answer from that to the request on its way; what is done about it:
+// - The socket is looked at before a connection is used, and a request is written at once: what is there before its request
+//   is no answer, and neither is an end.
+// - Without ids, a connection rests as long as its longest request took. If a stray answer was taken for that to a request,
+//   the request's own answer shows meanwhile.
+// - After stray bytes no connection carries a second request until none have come for `singleUseTime`. Connections stay open
+//   for a while after their one request, to see whether more come.
 //
 // They can also send without end. What is skipped before the answer, and the answer itself, are therefore limited; above the
 // limit the connection is closed and the call fails as after any other invalid answer.
@@ -67,7 +74,8 @@
     base::Duration maxIdleTimeNotIdempotent { 1000 }; // for requests that must not be repeated
     base::Duration connectTimeout { 1000 }; // the upstream is on this host: if connecting takes longer, it is not running
     base::Duration maxIdleTimeUnused { 1000 }; // of a connection that has carried no request; the upstream has named no timeout
-    size_t maxIdleConnections = 32; // an upstream runs fewer requests at once
+    base::Duration singleUseTime { 60000 }; // after stray bytes, see the head comment
+    size_t maxIdleConnections = 64; // an upstream runs fewer than half as many requests at once; as many connections rest
     size_t maxSkippedMessages = 32; // interim responses and answers to other requests in front of an answer; usual are one or two
     uint64_t maxSkippedBytes = 4 * 1024 * 1024; // of these: a late answer may be a download
     uint64_t maxAnswerBytes = 1024 * 1024 * 1024; // of a body: the largest that a questionnaire allows for a request
@@ -78,6 +86,7 @@
     uint64_t reused = 0;
     uint64_t unsolicitedAnswers = 0; // answers discarded because they have another request's id
     uint64_t unsolicitedBytes = 0; // connections closed because of unsolicited bytes
+    uint64_t endedIdle = 0; // connections found closed when they were to be used
     uint64_t endlessAnswers = 0; // connections closed because what they sent was above a limit
 };
 
@@ -102,6 +111,7 @@
     uint64_t m_bodyRequested = 0; // invariant: at least m_bodyAppended, at most bodyLength
     uint64_t m_bodyAppended = 0;
     bool m_sent = false; // the upstream may have received bytes
+    bool m_sentElsewhere = false; // its first connection began with stray bytes
     bool m_finished = false;
 };
 
@@ -119,12 +129,16 @@
     void checkListening(std::function<void(bool listening)> done);
     const base::Address& address() const { return m_address; }
     size_t idleConnections() const { return m_idle.size(); }
+    bool usesConnectionsOnce() const; // stray bytes came within `singleUseTime`
     const ClientCounts& counts() const { return m_counts; }
 
 private:
     friend class UpstreamCall;
     friend struct UpstreamConnection;
-    UpstreamConnection* takeIdle(bool idempotent);
+    UpstreamConnection* takeIdle(const UpstreamRequest&);
+    bool mayUse(UpstreamConnection&); // false: the socket holds bytes or an end, and the connection was dropped
+    void onStrayBytes(); // bytes that belong to no request on their connection
+    void sendElsewhere(UpstreamCall&); // on another connection: nothing of the request was sent on its own, which is dropped
     UpstreamConnection* dial();
     void checkListening(std::function<void(bool listening)> done, int dialsLeft);
     void finish(UpstreamCall&, std::optional<base::Error>, uint64_t bodyBytes);
@@ -137,6 +151,7 @@
     base::Address m_address;
     ClientLimits m_limits;
     ClientCounts m_counts;
+    std::optional<base::Time> m_strayBytesAt; // the last ones
     event* m_sweepTimer = nullptr;
     event* m_deleteClosedEvent = nullptr;
     std::vector<std::unique_ptr<UpstreamConnection>> m_connections;
--- a/src/appletally/http/upstream_connection.h
+++ b/src/appletally/http/upstream_connection.h
@@ -15,6 +15,8 @@
 
     bool dial(const base::Address&, base::Duration limit);
     void send(UpstreamCall&);
+    void write(evbuffer* request); // at once, as far as the socket takes it
+    bool headWaits() const; // a part of the current request's head is not written yet
     void requestBody(); // further bytes of a large one, as the upstream reads
     bool bodyIncomplete() const; // bytes of the current request's body are still missing
     void onReadable();
@@ -37,11 +39,14 @@
     MessageReader reader;
     bool connected = false;
     bool dropped = false;
+    bool used = false; // has carried a request
     bool sawUnsolicited = false; // received an answer to another request; that to the current one is still expected
     bool skipping = false; // the current message belongs to another request or is an interim (1xx) response
     bool headDelivered = false; // the head of the matching answer was passed to the handler
     size_t skippedMessages = 0; // of the current call
     uint64_t skippedBytes = 0; // received for the current call before the end of the matching answer's head
+    base::Time sentAt; // the current or last request
+    base::Duration restTime; // of its requests, the longest time from sending to the end of the answer
     base::Time idleSince;
     base::Duration idleTimeout;
 };
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -103,6 +103,7 @@
 {
     const Time now = base::steadyNow();
     updateRate();
+    noteStrayBytes();
     expireLostRuns();
     applyFollowup(policy::tick(m_admission, now));
     if (m_upstream && now - m_announcedAt > m_settings.announcementTimeout)
@@ -113,6 +114,13 @@
     setTick(!m_calls.empty());
 }
 
+void Owner::noteStrayBytes()
+{
+    const bool before = std::exchange(m_connectionsUsedOnce, m_client && m_client->usesConnectionsOnce());
+    if (m_connectionsUsedOnce && !before)
+        base::logEvent(base::Event::StrayBytes, m_client->address().text());
+}
+
 void Owner::onUpstreamLeft()
 {
     if (m_upstream)
@@ -303,6 +311,8 @@
     count("appletally_upstream_connections_total", "kind=\"kept\"", connections.reused);
     count("appletally_upstream_connections_total", "kind=\"stray_answer\"", connections.unsolicitedAnswers);
     count("appletally_upstream_connections_total", "kind=\"stray_bytes\"", connections.unsolicitedBytes);
+    count("appletally_upstream_connections_total", "kind=\"ended_idle\"", connections.endedIdle);
+    out.add("appletally_upstream_connections_used_once", "", m_client->usesConnectionsOnce() ? 1 : 0);
 }
 
 nlohmann::json Owner::toJson() const
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -117,6 +117,7 @@
     bool isEvacuated() const; // the host's availability zone
     const config::Service* upstreamService() const; // null: no upstream, or not in the configuration
     void onRestartSuspected(); // a sign that the upstream is another process than before
+    void noteStrayBytes();
     void updateRate(); // after any change of what bounds it, and as time passes
     void onLeaving(); // the upstream said in an answer that it takes no new requests
     bool isLeaving(const Announcement&) const;
@@ -186,6 +187,7 @@
     OwnerCounts m_counts;
     OwnerCallId m_lastId = 0;
     bool m_draining = false;
+    bool m_connectionsUsedOnce = false; // as logged last
     bool m_tickBusy = true;
 };
 
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -229,3 +229,38 @@
         }
     }
 }
+
+TEST_CASE("an upstream that answers twice gives each connection at most one wrong answer, and then none", "[node][answers]")
+{
+    // Guards against a second answer that nobody asked for: it reached another request, of another caller, as a whole 200. The
+    // calls are sent so that the second answer to one finds the next one running on the same connection.
+    AnswersMesh it;
+    it.upstream.answer = [](const ByteUpstream::Request&) { return std::string(); };
+    it.upstream.later = [&](const ByteUpstream::Request& got) {
+        const std::string target = got.head.substr(got.head.find('/'), got.head.find(" HTTP/") - got.head.find('/'));
+        const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+        it.upstream.sendAfter(got, whole, { 50 }); // the second answer
+        return whole;
+    };
+    it.upstream.delay = { 30 };
+    it.start();
+    constexpr int callers = 4, rounds = 30;
+    int wrong = 0, wrongLate = 0, served = 0;
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<std::pair<std::string, std::shared_ptr<TestAnswer>>> asked;
+        for (int n = 0; n < callers; ++n) {
+            const std::string target = (n % 2 ? "/plugs/connect/" : "/plugs/") + std::to_string(round * callers + n);
+            asked.emplace_back(target, it.mesh.ask(n < callers / 2 ? *it.a : *it.b, n % 2 ? "POST" : "GET", target));
+        }
+        REQUIRE(it.mesh.run([&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return each.second->done; }); }));
+        for (const auto& [target, answer] : asked) {
+            served += answer->status == 200;
+            wrong += answer->status == 200 && answer->body != target;
+            wrongLate += round >= rounds / 2 && answer->status == 200 && answer->body != target;
+        }
+    }
+    INFO(wrong << " wrong, " << served << " served, " << it.upstream.connections.size() << " connections");
+    CHECK(wrong <= callers);
+    CHECK(wrongLate == 0);
+    CHECK(served > callers * rounds * 9 / 10);
+}
--- a/tests/byte_upstream.h
+++ b/tests/byte_upstream.h
@@ -62,6 +62,14 @@
     ByteUpstream(const ByteUpstream&) = delete;
     ByteUpstream& operator=(const ByteUpstream&) = delete;
 
+    void sendAfter(const Request& to, const std::string& bytes, appletally::base::Duration wait)
+    {
+        for (Connection& it : connections) {
+            if (it.number == to.connection)
+                sendLater(it, bytes, wait);
+        }
+    }
+
     static std::string field(const std::string& head, const std::string& name) // empty: not there
     {
         const size_t at = head.find("\r\n" + name + ": ");
@@ -127,17 +135,17 @@
             send(it, answer ? answer(request) : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
             const std::string more = later ? later(request) : "";
             if (!more.empty())
-                sendLater(it, more);
+                sendLater(it, more, delay);
         }
     }
 
-    void sendLater(Connection& it, const std::string& bytes) const
+    void sendLater(Connection& it, const std::string& bytes, appletally::base::Duration after) const
     {
         struct Late {
             Connection* to;
             std::string bytes;
         };
-        const timeval wait = appletally::base::toTimeval(delay);
+        const timeval wait = appletally::base::toTimeval(after);
         event_base_once(
             loop, -1, EV_TIMEOUT, [](evutil_socket_t, short, void* arg) {
                 const std::unique_ptr<Late> late(static_cast<Late*>(arg));
