Requests carry an id of their send, which upstreams may repeat in their answers

Change: each request to an upstream carries Appletally-Request-Id, chosen by the owner and new for each send; one that a caller sends is replaced, and callers do not see it in answers. An answer with another id is skipped, as on the platform. A service's questionnaire says with "repeats_request_id" whether its upstreams always repeat it: then an answer without it is broken, and connections need no rest. The platform keeps its own field, which callers choose.

--- a/src/appletally/config/codec.cpp
+++ b/src/appletally/config/codec.cpp
@@ -156,6 +156,10 @@
     writeMember(out, "connections", int64_t { it.maxConnections });
     writeNames(out, "depends_on", it.dependsOn);
     writeMember(out, "name", it.name.text);
+    if (it.repeatsRequestId) {
+        writeKey(out, "repeats_request_id");
+        out.Bool(true);
+    }
     writeMember(out, "retry_budget", int64_t { it.retryBudget.value });
     writeMember(out, "slots", int64_t { it.slots });
     if (!it.fallbackVersion.empty())
@@ -189,6 +193,7 @@
     out.fallbackVersion.text = it.text("stand_in", "");
     out.coldRate.thousandths = it.integer("cold_rate", 0, INT64_MAX, 0);
     out.coldWindow.ms = it.integer("cold_window", 0, INT64_MAX, 0);
+    out.repeatsRequestId = it.flag("repeats_request_id", false);
     it.finish();
     return out;
 }
--- a/src/appletally/config/generate.cpp
+++ b/src/appletally/config/generate.cpp
@@ -47,6 +47,7 @@
         out.retryBudget = it.retryBudget;
         out.coldWindow = it.coldWindow;
         out.coldRate = it.coldRate;
+        out.repeatsRequestId = it.repeatsRequestId;
         if (!it.firstVersion.empty())
             out.versions = { { it.firstVersion, { 1000 } } };
         return out;
--- a/src/appletally/config/model.h
+++ b/src/appletally/config/model.h
@@ -66,6 +66,7 @@
     base::PerMille retryBudget { 100 }; // retries per thousand first attempts
     base::Duration coldWindow {}; // an upstream is cold for this long after its start
     base::RequestRate coldRate; // that a cold upstream takes from all hosts together; 0: no limit
+    bool repeatsRequestId = false; // its upstreams repeat the id of each send in the answer; one without it is broken
     bool operator==(const Service&) const = default;
 };
 
--- a/src/appletally/config/questionnaire.cpp
+++ b/src/appletally/config/questionnaire.cpp
@@ -107,6 +107,7 @@
         out.retryBudget.value = static_cast<int32_t>(it.integer("retry_budget_per_mille", 0, 1000, out.retryBudget.value));
         out.coldWindow = it.duration("cold_window_ms", {}, maxColdWindow, out.coldWindow);
         out.coldRate.thousandths = it.integer("cold_requests_per_1000_s", 0, maxColdRequests, 0);
+        out.repeatsRequestId = it.flag("repeats_request_id", out.repeatsRequestId);
         if (it.has("new_versions"))
             out.newVersions = readNewVersions(it.object("new_versions"));
         for (JsonReader& route : it.objects("routes"))
--- a/src/appletally/config/questionnaire.h
+++ b/src/appletally/config/questionnaire.h
@@ -40,6 +40,7 @@
     base::PerMille retryBudget { 100 };
     base::Duration coldWindow {};
     base::RequestRate coldRate;
+    bool repeatsRequestId = false;
     NewVersionAnswers newVersions;
     std::vector<RouteAnswers> routes;
 };
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -320,9 +320,9 @@
         return;
     if (!request.id.empty()) {
         const std::string* id = findHeader(reader.head.headers, request.idHeader);
-        if (!id)
+        if (!id && request.idRequired)
             return end(base::fail(Code::InvalidUpstreamAnswer, "the upstream's answer does not repeat the request id"));
-        if (*id != request.id) {
+        if (id && *id != request.id) {
             ++client.m_counts.unsolicitedAnswers;
             client.m_strayBytesAt = base::steadyNow();
             ++skippedMessages;
@@ -333,8 +333,9 @@
     headDelivered = true;
     const int64_t seconds = keepAliveSeconds(reader.head.headers);
     idleTimeout = seconds == secondsUnknown ? client.m_limits.maxIdleTime : std::min(client.m_limits.maxIdleTime, Duration { seconds * 1000 } - keepAliveMargin);
+    AnswerHead head { reader.head.status, reader.head.headers, reader.head.length };
     if (call->m_handler.head)
-        call->m_handler.head({ reader.head.status, reader.head.headers, reader.head.length });
+        call->m_handler.head(head);
 }
 
 void UpstreamConnection::onAnswerEnd()
@@ -434,7 +435,7 @@
 {
     const base::Time now = base::steadyNow();
     const bool onlyUnused = usesConnectionsOnce();
-    const bool mustRest = request.id.empty();
+    const bool mustRest = request.id.empty() || !request.idRequired;
     for (size_t n = m_idle.size(); n-- > 0;) {
         UpstreamConnection* it = m_idle[n];
         const Duration idle = now - it->idleSince;
--- a/src/appletally/http/upstream_client.h
+++ b/src/appletally/http/upstream_client.h
@@ -45,6 +45,7 @@
     bool idempotent = false; // false: must not use a connection that may already be closed
     std::string idHeader; // name of the header in which the answer repeats `id`
     std::string id; // empty: not checked
+    bool idRequired = true; // an answer without an id is broken; otherwise only one with another id is
     uint64_t bodyLength = 0; // of a body that follows through appendBody(); `body` is then empty
     uint64_t bodyWindow = 256 * 1024; // that much of it is requested in advance
 };
@@ -61,7 +62,7 @@
 };
 
 struct UpstreamHandler {
-    std::function<void(const AnswerHead&)> head;
+    std::function<void(AnswerHead&)> head; // may change it
     std::function<void(evbuffer*)> body; // drains the buffer
     std::function<void(const AnswerEnd&)> end; // called once, last
     std::function<void(uint64_t bytes)> wantBody; // so many bytes more may be passed to appendBody(), at once or later
--- a/src/appletally/node/dialect.h
+++ b/src/appletally/node/dialect.h
@@ -16,6 +16,7 @@
     std::string leaving = "Appletally-Leaving"; // on an upstream's answer: "1" if it takes no new requests
     std::string service; // overwritten with the service of the host where the request entered the mesh; empty: not set
     std::string requestId; // id of one send of a request, repeated by upstreams in the answer; empty: not used
+    std::string sendId = "Appletally-Request-Id"; // id of one send, chosen by the owner; upstreams may repeat it in the answer. Empty: `requestId` serves for this
     std::string upstreamId; // id of the target upstream process, which refuses requests for another; empty: not set
     std::string completeAnswerHeader; // present on every complete answer of an upstream; a success without it is broken; empty: not checked
     bool allowContentCoding = true; // false: callers accept no content coding, so an answer with Content-Encoding did not come from the upstream
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -190,7 +190,7 @@
     const std::string* named = http::findHeader(it.call.headers, "Connection"); // lists fields that apply to the caller's connection only
     for (const http::HeaderField& field : it.call.headers) {
         const bool ours = http::sameName(field.name, names.timeLeft) || http::sameName(field.name, names.depth) || http::sameName(field.name, names.caller)
-            || http::sameName(field.name, names.upstreamId);
+            || http::sameName(field.name, names.upstreamId) || http::sameName(field.name, names.sendId);
         if (!ours && !http::isHopByHop(field.name) && !(named && http::hasToken(*named, field.name)))
             out.headers.push_back(field);
     }
@@ -204,7 +204,13 @@
     if (!m_upstream->id.empty())
         add(names.upstreamId, m_upstream->id);
     const std::string* id = names.requestId.empty() ? nullptr : http::findHeader(it.call.headers, names.requestId);
-    if (id) {
+    if (!names.sendId.empty()) {
+        const config::Service* service = upstreamService();
+        out.idHeader = names.sendId;
+        out.id = std::to_string(m_settings.incarnation.value) + "-" + std::to_string(it.id);
+        out.idRequired = service && service->repeatsRequestId;
+        add(names.sendId, out.id);
+    } else if (id) {
         out.idHeader = names.requestId;
         out.id = *id;
     }
@@ -226,7 +232,8 @@
     ++m_counts.ran;
     const OwnerCallId id = it.id;
     http::UpstreamHandler handler;
-    handler.head = [this, id](const http::AnswerHead& head) {
+    handler.head = [this, id](http::AnswerHead& head) {
+        std::erase_if(head.headers, [&](const http::HeaderField& field) { return http::sameName(field.name, m_settings.dialect.sendId); });
         if (ActiveCall* found = find(id))
             onHead(*found, head);
     };
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -230,37 +230,107 @@
     }
 }
 
+namespace {
+
+// An upstream that answers each request twice, the second time while the next request runs on its connection.
+struct TwiceMesh : AnswersMesh {
+    static constexpr int callers = 4, rounds = 30;
+    bool repeatsId = false;
+    int served = 0, wrong = 0;
+    int wrongLate = 0; // in the second half
+
+    TwiceMesh()
+    {
+        upstream.answer = [](const ByteUpstream::Request&) { return std::string(); };
+        upstream.delay = { 30 };
+        upstream.later = [this](const ByteUpstream::Request& got) {
+            const std::string id = repeatsId ? "Appletally-Request-Id: " + ByteUpstream::field(got.head, "Appletally-Request-Id") + "\r\n" : "";
+            const std::string target = got.head.substr(got.head.find('/'), got.head.find(" HTTP/") - got.head.find('/'));
+            const std::string whole = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+            upstream.sendAfter(got, whole, { 50 });
+            return whole;
+        };
+    }
+
+    void askAll()
+    {
+        for (int round = 0; round < rounds; ++round) {
+            std::vector<std::pair<std::string, std::shared_ptr<TestAnswer>>> asked;
+            for (int n = 0; n < callers; ++n) {
+                const std::string target = (n % 2 ? "/plugs/connect/" : "/plugs/") + std::to_string(round * callers + n);
+                asked.emplace_back(target, mesh.ask(n < callers / 2 ? *a : *b, n % 2 ? "POST" : "GET", target));
+            }
+            REQUIRE(mesh.run([&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return each.second->done; }); }));
+            for (const auto& [target, answer] : asked) {
+                served += answer->status == 200;
+                wrong += answer->status == 200 && answer->body != target;
+                wrongLate += round >= rounds / 2 && answer->status == 200 && answer->body != target;
+            }
+        }
+    }
+};
+
+} // namespace
+
 TEST_CASE("an upstream that answers twice gives each connection at most one wrong answer, and then none", "[node][answers]")
 {
-    // Guards against a second answer that nobody asked for: it reached another request, of another caller, as a whole 200. The
-    // calls are sent so that the second answer to one finds the next one running on the same connection.
+    // Guards against a second answer that nobody asked for: it reached another request, of another caller, as a whole 200.
+    TwiceMesh it;
+    it.start();
+    it.askAll();
+    INFO(it.wrong << " wrong, " << it.served << " served, " << it.upstream.connections.size() << " connections");
+    CHECK(it.wrong <= TwiceMesh::callers);
+    CHECK(it.wrongLate == 0);
+    CHECK(it.served > TwiceMesh::callers * TwiceMesh::rounds * 9 / 10);
+}
+
+TEST_CASE("an upstream that repeats request ids gives no caller another's answer", "[node][answers]")
+{
+    // Guards against mixing answers where the upstream says which request each belongs to.
+    TwiceMesh it;
+    it.repeatsId = true;
+    const bool required = GENERATE(false, true);
+    it.mesh.edit = [required](config::Snapshot& snapshot) {
+        for (auto& [name, service] : snapshot.services)
+            service.repeatsRequestId = required;
+    };
+    it.start();
+    it.askAll();
+    CHECK(it.wrong == 0);
+    CHECK(it.served > TwiceMesh::callers * TwiceMesh::rounds * 9 / 10);
+}
+
+TEST_CASE("an answer without the request's id is broken where the questionnaire says that upstreams repeat it", "[node][answers]")
+{
+    // Guards against an answer of unknown origin, and against callers that choose the id or get to see it.
     AnswersMesh it;
-    it.upstream.answer = [](const ByteUpstream::Request&) { return std::string(); };
-    it.upstream.later = [&](const ByteUpstream::Request& got) {
-        const std::string target = got.head.substr(got.head.find('/'), got.head.find(" HTTP/") - got.head.find('/'));
-        const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
-        it.upstream.sendAfter(got, whole, { 50 }); // the second answer
-        return whole;
+    const bool required = GENERATE(false, true);
+    it.mesh.edit = [required](config::Snapshot& snapshot) {
+        for (auto& [name, service] : snapshot.services)
+            service.repeatsRequestId = required;
+    };
+    std::vector<std::string> ids;
+    bool repeats = true;
+    it.upstream.answer = [&](const ByteUpstream::Request& got) {
+        ids.push_back(ByteUpstream::field(got.head, "Appletally-Request-Id"));
+        return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + (repeats ? "appletally-request-id: " + ids.back() + "\r\n" : "") + "\r\nok";
     };
-    it.upstream.delay = { 30 };
     it.start();
-    constexpr int callers = 4, rounds = 30;
-    int wrong = 0, wrongLate = 0, served = 0;
-    for (int round = 0; round < rounds; ++round) {
-        std::vector<std::pair<std::string, std::shared_ptr<TestAnswer>>> asked;
-        for (int n = 0; n < callers; ++n) {
-            const std::string target = (n % 2 ? "/plugs/connect/" : "/plugs/") + std::to_string(round * callers + n);
-            asked.emplace_back(target, it.mesh.ask(n < callers / 2 ? *it.a : *it.b, n % 2 ? "POST" : "GET", target));
-        }
-        REQUIRE(it.mesh.run([&] { return std::all_of(asked.begin(), asked.end(), [](const auto& each) { return each.second->done; }); }));
-        for (const auto& [target, answer] : asked) {
-            served += answer->status == 200;
-            wrong += answer->status == 200 && answer->body != target;
-            wrongLate += round >= rounds / 2 && answer->status == 200 && answer->body != target;
-        }
+    for (const TestNode* node : { it.a, it.b }) {
+        repeats = true;
+        const auto whole = it.mesh.ask(*node, "GET", "/plugs/1", { "Appletally-Request-Id: mine" });
+        REQUIRE(it.mesh.run([&] { return whole->done; }));
+        CHECK(whole->status == 200);
+        CHECK(whole->headers.count("appletally-request-id") == 0);
+        repeats = false;
+        const auto without = it.mesh.ask(*node, "POST", "/plugs/connect/1");
+        REQUIRE(it.mesh.run([&] { return without->done; }));
+        CHECK(without->status == (required ? 502 : 200));
+    }
+    REQUIRE(ids.size() == 4);
+    for (size_t n = 0; n < ids.size(); ++n) {
+        CHECK(ids[n] != "mine");
+        CHECK_FALSE(ids[n].empty());
+        CHECK(std::count(ids.begin(), ids.end(), ids[n]) == 1);
     }
-    INFO(wrong << " wrong, " << served << " served, " << it.upstream.connections.size() << " connections");
-    CHECK(wrong <= callers);
-    CHECK(wrongLate == 0);
-    CHECK(served > callers * rounds * 9 / 10);
 }
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -43,6 +43,22 @@
 
 } // namespace
 
+TEST_CASE("what the questionnaire says of request ids reaches the nodes", "[config]")
+{
+    // Guards against an answer that is accepted and lost on its way into the configuration.
+    for (const bool repeats : { false, true }) {
+        Json json = minimalAnswers();
+        json["services"][0]["repeats_request_id"] = repeats;
+        const Snapshot snapshot = generate(readAnswers(base::parseJson(json.dump()).value(), "a.json").value());
+        const Service& service = snapshot.services.at({ "a" });
+        CHECK(service.repeatsRequestId == repeats);
+        base::ReadProblem problem;
+        const auto encoded = base::parseJson(toJson(service).dump());
+        CHECK(readService(base::JsonReader(encoded.value(), "snapshot", problem)) == service);
+        CHECK_FALSE(problem.first);
+    }
+}
+
 TEST_CASE("errors in the questionnaire report the path of the invalid value", "[config]")
 {
     // Guards against charging a member twice: an ignored mistyped key would leave a donation repeatable.
