A stopping node refuses what cannot end before it does

Cause: until the drain time was over a request was taken whatever its route was known to take; the stop's end was compared with nothing.

Change: policy::endsBefore() compares what is known of a route's duration with the time until the final answers of the stop, 0.3 s before its end: the time within which 97 of 100 answers came to this node, at the owner twice the mean run; before any answer the timeout for requests that must not be repeated, the configured run for others. The callers' side asks it on arrival, the owner on arrival and before a run starts. What is taken has the stop as its deadline, so that an owner elsewhere does not let it wait in vain.

--- a/src/appletally/node/ingress.cpp
+++ b/src/appletally/node/ingress.cpp
@@ -134,7 +134,11 @@
         policy::loadReported(router, host, load, base::steadyNow());
 }
 
-void Ingress::drain() { m_listener.setDraining(true); }
+void Ingress::drain(base::Time stop)
+{
+    m_stop = stop;
+    m_listener.setDraining(true);
+}
 
 void Ingress::stop()
 {
--- a/src/appletally/node/ingress.h
+++ b/src/appletally/node/ingress.h
@@ -62,7 +62,9 @@
     void onSuspected(const base::HostId&); // sends copies of the reads that are active there elsewhere
     void setConfigurationExpected(bool); // a source of configuration answers, even if no version has been applied yet
     void open(); // configuration and upstreams are known: serves the queued early requests
-    void drain(); // answers close their connections from now on, so that callers move to another node
+    // Answers close their connections from now on, so that callers move to another node. Requests that would not end before
+    // `stop` are refused.
+    void drain(base::Time stop);
     void stop(); // accepts no new connections; active requests continue
     void answerPendingRequests(); // the process is about to exit: sends a final answer to every request that waits for an upstream
     bool idle() const { return m_calls.empty() && m_listener.allConnectionsClosed(); } // after stop()
@@ -130,6 +132,7 @@
 
     void updateVersionView(const ActiveRequest&, const Attempt&, bool failed, int64_t runMicros);
     std::optional<policy::CallerBaseline> baselineFor(const ActiveRequest&, const policy::Pick&) const;
+    bool endsBeforeStop(const ActiveRequest&) const;
     void stopVersion(const ActiveRequest&, const policy::Pick&);
     void setShares(const config::Service&);
 
@@ -141,6 +144,7 @@
     SuspectRegistry* m_suspectRequests;
     http::CallerListener m_listener;
     EarlyRequests m_earlyRequests; // empty once m_open is set
+    std::optional<base::Time> m_stop; // of this node
     bool m_open = false; // a configuration is applied and upstreams are known
     std::shared_ptr<const config::Snapshot> m_snapshot;
     config::RouteIndex m_index; // points into m_snapshot
--- a/src/appletally/node/ingress_request.cpp
+++ b/src/appletally/node/ingress_request.cpp
@@ -6,6 +6,7 @@
 #include "appletally/inner/cluster_key.h"
 #include "appletally/node/ingress_reply.h"
 #include "appletally/node/request_digest.h"
+#include "appletally/policy/planned_stop.h"
 
 #include <algorithm>
 #include <strings.h>
@@ -89,10 +90,24 @@
     if (depth < 0 || depth > maxCallDepth)
         return refuse(exchange, Code::RequestMalformed, "the call depth is out of range; calls may form a loop");
     ActiveRequest& it = begin(exchange, *route, static_cast<uint8_t>(depth), arrivedAt);
+    if (!endsBeforeStop(it))
+        return failRequest(it, base::fail(Code::Draining, "this node is stopping, and the request would not end before"));
+    if (m_stop)
+        it.call.deadline = std::min(it.call.deadline, *m_stop);
     if (!joinSharedRun(it))
         send(it);
 }
 
+bool Ingress::endsBeforeStop(const ActiveRequest& it) const
+{
+    if (!m_stop)
+        return true;
+    const auto seen = m_slowAnswers.find(it.route->name);
+    const auto usual = seen == m_slowAnswers.end() ? std::nullopt : policy::usualLatency(seen->second);
+    const Time now = base::steadyNow();
+    return policy::endsBefore(*m_stop, { usual, it.route->expected, it.call.deadline - now, it.route->idempotent }, now);
+}
+
 // A caller that retries after a refusal has already waited, but sends only its remaining time. The longest timeout seen on
 // the route is taken as the initial timeout of all its callers.
 Duration Ingress::estimateEarlierWait(const ActiveRequest& it, Duration requestedTimeout)
--- a/src/appletally/node/node.cpp
+++ b/src/appletally/node/node.cpp
@@ -286,7 +286,7 @@
         m_acceptingStopped = true;
         m_ingress.stop();
     }
-    if (!m_finalAnswersSent && stopping >= m_settings.gracefulShutdownTimeout - std::min(finalAnswersLead, m_settings.gracefulShutdownTimeout / 4)) {
+    if (!m_finalAnswersSent && now >= answersDue()) {
         m_finalAnswersSent = true;
         m_ingress.answerPendingRequests();
     }
@@ -303,6 +303,11 @@
     stopped();
 }
 
+base::Time Node::answersDue() const
+{
+    return m_stopAt + m_settings.gracefulShutdownTimeout - std::min(finalAnswersLead, m_settings.gracefulShutdownTimeout / 4);
+}
+
 void Node::drainOwnerWhenDue(Duration stopping)
 {
     if (m_ownerDraining || stopping < m_settings.drainTime - ownerDrainLead)
@@ -316,7 +321,8 @@
     base::logEvent(Event::Stopping, "draining for " + std::to_string(m_settings.drainTime.ms) + " ms, exiting within " + std::to_string(m_settings.gracefulShutdownTimeout.ms) + " ms");
     m_stopped = std::move(stopped);
     m_stopAt = base::steadyNow();
-    m_ingress.drain();
+    m_ingress.drain(answersDue());
+    m_owner.stopBy(answersDue());
     drainOwnerWhenDue({});
 }
 
--- a/src/appletally/node/node.h
+++ b/src/appletally/node/node.h
@@ -79,6 +79,7 @@
     void learnLeaving(const std::optional<config::LeavingUpstream>&);
     void finishLeaving(const std::function<std::optional<bool>(const PendingLeaving&)>& outcome);
     void onTick();
+    base::Time answersDue() const; // with a planned stop: when requests that are still active get a final answer
     void drainOwnerWhenDue(base::Duration stopping);
     nlohmann::json toJson() const;
 
--- a/src/appletally/node/owner.cpp
+++ b/src/appletally/node/owner.cpp
@@ -4,6 +4,7 @@
 
 #include "appletally/base/log.h"
 #include "appletally/base/loop_time.h"
+#include "appletally/policy/planned_stop.h"
 
 #include <algorithm>
 #include <strings.h>
@@ -86,6 +87,18 @@
     return {};
 }
 
+std::optional<base::Error> Owner::findStop(const Call& call) const
+{
+    if (!m_stop)
+        return {};
+    constexpr int spread = 2; // runs vary by about their own mean
+    const Time now = base::steadyNow();
+    const auto mean = policy::observedRun(m_admission.runs, call.route);
+    if (policy::endsBefore(*m_stop, { mean ? std::optional(*mean * spread) : std::nullopt, call.expected, call.deadline - now, call.idempotent }, now))
+        return {};
+    return base::fail(Code::Draining, "the node beside the upstream is stopping, and the call would not end before");
+}
+
 policy::LocalVersionMonitor* Owner::localDecision()
 {
     if (!m_upstream)
@@ -226,6 +239,8 @@
     m_client = std::make_unique<http::UpstreamClient>(m_loop, next.address);
 }
 
+void Owner::stopBy(Time stop) { m_stop = stop; }
+
 void Owner::drain()
 {
     if (m_draining)
--- a/src/appletally/node/owner.h
+++ b/src/appletally/node/owner.h
@@ -87,6 +87,7 @@
     void announce(const Announcement&);
     void onUpstreamLeft(); // the upstream deregistered: it gets no new calls; running ones continue
     void apply(std::shared_ptr<const config::Snapshot>);
+    void stopBy(base::Time); // this node stops then: calls that would not end before are refused
     void drain(); // this node stops: handled as if the upstream drained
     bool idle() const { return m_calls.empty(); }
 
@@ -103,6 +104,7 @@
     bool holdSuspect(ActiveCall&); // true: it waits for the run of another suspect, or was refused
     void admitHeld();
     std::optional<base::Error> findBlock(const ActiveCall&) const;
+    std::optional<base::Error> findStop(const Call&) const; // set: this node stops before the call would end
     void run(ActiveCall&); // it holds a slot
     void claim(ActiveCall&); // before any byte of a keyed, non-idempotent request is sent to the upstream
     void onClaimDecided(OwnerCallId, const policy::ClaimRound&);
@@ -187,6 +189,7 @@
     OwnerCounts m_counts;
     OwnerCallId m_lastId = 0;
     bool m_draining = false;
+    std::optional<base::Time> m_stop; // of this node
     bool m_connectionsUsedOnce = false; // as logged last
     bool m_tickBusy = true;
 };
--- a/src/appletally/node/owner_run.cpp
+++ b/src/appletally/node/owner_run.cpp
@@ -55,6 +55,8 @@
 {
     if (auto error = findRefusal(it.call))
         return refuse(it, *error);
+    if (auto error = findStop(it.call))
+        return refuse(it, *error);
     if (holdSuspect(it))
         return;
     it.offered = true;
@@ -98,6 +100,8 @@
         return releaseAndRefuse(it, *error);
     if (auto error = findBlock(it))
         return releaseAndRefuse(it, *error);
+    if (auto error = findStop(it.call))
+        return releaseAndRefuse(it, *error);
     if (m_settings.features.claims && !it.call.idempotent && !it.call.key.empty())
         return claim(it);
     send(it);
--- a/src/appletally/policy/hedge.cpp
+++ b/src/appletally/policy/hedge.cpp
@@ -29,6 +29,11 @@
     it.ms = std::max(it.ms, minMs);
 }
 
+std::optional<base::Duration> usualLatency(const LatencyEstimate& it)
+{
+    return it.answers > 0 ? std::optional(base::Duration { static_cast<int64_t>(std::ceil(it.ms)) }) : std::nullopt;
+}
+
 void accrue(HedgeBudget& it, base::Time now)
 {
     advance(it.tokens, now);
@@ -39,7 +44,7 @@
 {
     if (!idempotent || estimate.answers < minAnswers)
         return std::nullopt;
-    const base::Duration after { static_cast<int64_t>(std::ceil(estimate.ms)) };
+    const base::Duration after = *usualLatency(estimate);
     if (now + after * 2 > deadline) // the copy could hardly answer in time either
         return std::nullopt;
     return after;
--- a/src/appletally/policy/hedge.h
+++ b/src/appletally/policy/hedge.h
@@ -27,6 +27,9 @@
 // read is hedged.
 void observe(LatencyEstimate&, base::Duration took);
 
+// The estimate, rough below 30 answers; none without one.
+std::optional<base::Duration> usualLatency(const LatencyEstimate&);
+
 // One per service and node. Each first attempt earns `perFirstAttempt`, each hedge costs a token.
 struct HedgeBudget {
     base::PerMille perFirstAttempt { 50 };
--- a/tests/process_mesh.h
+++ b/tests/process_mesh.h
@@ -100,12 +100,14 @@
         voter.waitLine({ "started" });
     }
 
-    Host& addHost(const std::string& name)
+    Host& addHost(const std::string& name, const nlohmann::json& furtherSettings = nlohmann::json::object())
     {
         hosts.push_back(std::make_unique<Host>());
         Host& it = *hosts.back();
         it.name = name;
-        writeFile(folder / (name + ".json"), { { "cluster", "test" }, { "key", clusterKey }, { "host", name }, { "zone", "z-" + name }, { "region", "r" }, { "listen", { { "callers", it.callers.address() }, { "inner", it.inner.address() }, { "announce", it.announce.address() }, { "operators", it.operators.address() } } }, { "voters", { voterPort.address() } } });
+        nlohmann::json settings = { { "cluster", "test" }, { "key", clusterKey }, { "host", name }, { "zone", "z-" + name }, { "region", "r" }, { "listen", { { "callers", it.callers.address() }, { "inner", it.inner.address() }, { "announce", it.announce.address() }, { "operators", it.operators.address() } } }, { "voters", { voterPort.address() } } };
+        settings.update(furtherSettings);
+        writeFile(folder / (name + ".json"), settings);
         it.node = Program("appletally-node", { folder / (name + ".json") });
         it.node.waitLine({ "started" });
         return it;
@@ -120,9 +122,11 @@
         it.node.waitLine({ "upstream-announced", service });
     }
 
-    void submit(const std::string& answers)
+    void submit(const std::string& answers) { submitFile(std::string(SOURCE_FOLDER) + "/examples/" + answers); }
+
+    void submitFile(const std::string& path)
     {
-        const Finished done = run("appletallyctl", { folder / "ctl.json", "submit", std::string(SOURCE_FOLDER) + "/examples/" + answers });
+        const Finished done = run("appletallyctl", { folder / "ctl.json", "submit", path });
         INFO(done.err);
         REQUIRE(done.code == 0);
     }
