--- a/src/appletally/http/caller_connection.cpp
+++ b/src/appletally/http/caller_connection.cpp
@@ -113,13 +113,12 @@
     m_head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
     for (const HeaderField& it : headers)
         m_head += it.name + ": " + it.value + "\r\n";
-    constexpr int noContent = 204;
     const bool lengthUnknown = length < 0 && answerHasBody(m_request.method, status);
     m_chunked = lengthUnknown && !m_isHttp10;
     m_endsWithConnection = lengthUnknown && m_isHttp10;
     if (m_chunked)
         m_head += "Transfer-Encoding: chunked\r\n";
-    else if (length >= 0 && status != noContent)
+    else if (length >= 0 && status != statusNoContent)
         m_head += "Content-Length: " + std::to_string(length) + "\r\n";
 }
 
--- a/src/appletally/http/header.cpp
+++ b/src/appletally/http/header.cpp
@@ -44,8 +44,8 @@
 
 bool statusAllowsBody(int status)
 {
-    constexpr int noContent = 204, notModified = 304;
-    return status >= 200 && status != noContent && status != notModified;
+    constexpr int notModified = 304;
+    return status >= 200 && status != statusNoContent && status != notModified;
 }
 
 bool answerHasBody(std::string_view method, int status) { return method != "HEAD" && statusAllowsBody(status); }
--- a/src/appletally/http/header.h
+++ b/src/appletally/http/header.h
@@ -23,6 +23,8 @@
 // Fields that apply to one connection only and are never forwarded.
 bool isHopByHop(std::string_view name);
 
+constexpr int statusNoContent = 204;
+
 // False: the answer ends with its head, whatever its fields say (RFC 9112, section 6.3, point 1).
 bool statusAllowsBody(int status);
 bool answerHasBody(std::string_view method, int status); // to a request with this method
--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -480,11 +480,12 @@
     m_strayBytesAt = base::steadyNow();
 }
 
-// Once: an upstream that sends first on each connection is no HTTP server.
+// Once: an upstream that sends first on each connection is no HTTP server. Body bytes that were requested are gone with the
+// connection.
 void UpstreamClient::sendElsewhere(UpstreamCall& call)
 {
     drop(*call.m_connection);
-    if (call.m_sentElsewhere)
+    if (call.m_sentElsewhere || call.m_bodyRequested > 0)
         return finish(call, base::fail(Code::NoUpstream, "what listens at " + m_address.text() + " closes connections or sends before it gets a request"), 0);
     call.m_sentElsewhere = true;
     ++m_counts.dialed;
--- a/src/appletally/node/ingress_answer.cpp
+++ b/src/appletally/node/ingress_answer.cpp
@@ -172,6 +172,16 @@
     return base::info(error.code).notRun ? AnswerKind::Refused : AnswerKind::Failed;
 }
 
+static std::optional<base::Error> findWrongLength(const std::string& method, const http::AnswerHead& head, uint64_t bodyBytes)
+{
+    const bool hasBody = http::answerHasBody(method, head.status);
+    if (!hasBody && bodyBytes > 0)
+        return base::fail(Code::InvalidUpstreamAnswer, "a body in an answer that has none");
+    if (hasBody && head.length >= 0 && bodyBytes != static_cast<uint64_t>(head.length))
+        return base::fail(Code::AnswerTruncated, "the length of the body differs from its Content-Length");
+    return {};
+}
+
 void Ingress::onEnd(ActiveRequest& it, Attempt& attempt, const CallEnd& end)
 {
     std::optional<base::Error> error = end.error;
@@ -179,10 +189,8 @@
         m_suspectRequests->onTold(*end.suspect);
     if (!error && !attempt.head)
         error = base::fail(Code::AnswerTruncated, "the answer ended without a head");
-    if (!error && !http::answerHasBody(it.call.method, attempt.head->status) && attempt.bodyBytes > 0)
-        error = base::fail(Code::InvalidUpstreamAnswer, "a body in an answer that has none");
-    else if (!error && attempt.head->length >= 0 && http::answerHasBody(it.call.method, attempt.head->status) && attempt.bodyBytes != static_cast<uint64_t>(attempt.head->length))
-        error = base::fail(Code::AnswerTruncated, "the length of the body differs from its Content-Length");
+    if (!error)
+        error = findWrongLength(it.call.method, *attempt.head, attempt.bodyBytes);
     const auto ending = detachAttempt(it, attempt);
     if (!error || !base::info(error->code).notRun)
         updateVersionView(it, *ending, error || ending->head->status >= 500, end.runMicros);
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -246,7 +246,7 @@
         upstream.later = [this](const ByteUpstream::Request& got) {
             const std::string id = repeatsId ? "Appletally-Request-Id: " + ByteUpstream::field(got.head, "Appletally-Request-Id") + "\r\n" : "";
             const std::string target = got.head.substr(got.head.find('/'), got.head.find(" HTTP/") - got.head.find('/'));
-            const std::string whole = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
+            std::string whole = "HTTP/1.1 200 OK\r\n" + id + "Content-Length: " + std::to_string(target.size()) + "\r\n\r\n" + target;
             upstream.sendAfter(got, whole, { 50 });
             return whole;
         };
