Tests: the platform's node treats unusual answers like any other

A test with the platform's dialect now asks both nodes for 304 and 204 with a length, two foreign start lines, a chunk without its line ending and a sound answer.

The code before was not run with it; it shares the reader.

--- a/src/appletally/http/upstream_client.cpp
+++ b/src/appletally/http/upstream_client.cpp
@@ -310,7 +310,7 @@
 }
 
 // An answer with another id belongs to a cancelled request; the answer to the current one may follow. An answer without an
-// id could belong to either, so it is an error.
+// id could belong to either, so it is an error where ids are required.
 void UpstreamConnection::onAnswerHead()
 {
     const UpstreamRequest& request = call->m_request;
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -2,6 +2,8 @@
 #include "byte_upstream.h"
 #include "node_fixture.h"
 
+#include "platform/dialect.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <vector>
@@ -19,8 +21,9 @@
     TestNode* a = nullptr;
     TestNode* b = nullptr;
 
-    AnswersMesh()
+    explicit AnswersMesh(const node::Dialect& dialect = {})
     {
+        mesh.dialect = dialect;
         mesh.announcementTimeout = { 60000 }; // it is announced once
         a = &mesh.addNode("a", "z1");
         b = &mesh.addNode("b", "z2");
@@ -334,3 +337,40 @@
         CHECK(std::count(ids.begin(), ids.end(), ids[n]) == 1);
     }
 }
+
+TEST_CASE("the node of the users' platform treats unusual answers like any other", "[node][answers][platform]")
+{
+    // Guards against a fix that holds in the product's own dialect alone.
+    struct Case {
+        const char* path;
+        std::string answer;
+        std::string status;
+        std::string length; // that the caller gets; not checked if empty
+    };
+    const Case cases[] = {
+        { "/plugs/304", "HTTP/1.1 304 Not Modified\r\nContent-Length: 1800\r\n", "304", "1800" },
+        { "/plugs/204", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n", "204", "" },
+        { "/plugs/version", "HTTP/9.9 200 OK\r\nContent-Length: 0\r\n", "502", "" },
+        { "/plugs/protocol", "HTTX/1.1 200 OK\r\nContent-Length: 0\r\n", "502", "" },
+        { "/plugs/chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "502", "" },
+        { "/plugs/sound", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "200", "0" },
+    };
+    AnswersMesh it(platform::dialect());
+    it.upstream.answer = [&](const ByteUpstream::Request& got) {
+        const auto found = std::find_if(std::begin(cases), std::end(cases), [&](const Case& each) { return got.head.find(each.path) != std::string::npos; });
+        const std::string fields = "X-Response-Signature: s\r\nX-Request-Id: " + ByteUpstream::field(got.head, "X-Request-Id") + "\r\n\r\n";
+        return found->answer + fields + (found->answer.find("chunked") == std::string::npos ? "" : "2\r\nokXX0\r\n\r\n");
+    };
+    it.start();
+    for (const Case& each : cases) {
+        for (const TestNode* node : { it.a, it.b }) {
+            INFO(each.path << " at node " << node->host);
+            const auto got = it.mesh.ask(*node, "GET", each.path, { std::string("X-Request-Id: ") + each.path + node->host });
+            REQUIRE(it.mesh.run([&] { return got->done; }));
+            CHECK(std::to_string(got->status) == each.status);
+            if (!each.length.empty())
+                CHECK(got->headers["content-length"] == each.length);
+            CHECK(got->headers.count("appletally-request-id") == 0);
+        }
+    }
+}
--- a/tests/node_fixture.cpp
+++ b/tests/node_fixture.cpp
@@ -130,6 +130,7 @@
     settings.region = { "r" };
     settings.callers = settings.inner = settings.announce = settings.operators = base::parseAddress(anyPort).value();
     settings.limits = limits;
+    settings.dialect = dialect;
     settings.memoryBytes = memoryBytes;
     settings.announcementTimeout = announcementTimeout;
     settings.drainTime = { 100 };
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -93,6 +93,7 @@
     event_base* loop() { return m_loop; }
     std::map<std::string, std::unique_ptr<TestNode>>& nodes() { return m_nodes; }
     appletally::http::ListenerLimits limits;
+    appletally::node::Dialect dialect; // of nodes added from now on
     uint64_t memoryBytes = 0; // of nodes added from now on; 0: not bounded
     appletally::base::Duration gracefulShutdownTimeout { 30000 }; // of nodes added from now on
     appletally::base::Duration announcementTimeout { 3000 }; // of nodes added from now on
